--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, each one command with a seed."""
--- /dev/null
+++ b/packages/endivebeam-cli/src/endivebeam_cli/__init__.py
@@ -0,0 +1,5 @@
+"""The operator's command-line tool."""
+
+from ._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/endivebeam-http/src/endivebeam_http/__init__.py
@@ -0,0 +1,38 @@
+"""HTTP/1.1 connections on ``httptools`` and ``anyio``.
+
+The parser is the library's; this package adds the duties that a low-level
+parser leaves to its user: framing checks, limits, timeouts and pooling.
+"""
+
+from ._client import ClientPool, NotSentError, encode_request
+from ._messages import (
+    HOP_BY_HOP,
+    MAX_BODY_BYTES,
+    ConnectionLostError,
+    Field,
+    HttpError,
+    Request,
+    Response,
+    get_field,
+    strip_hop_by_hop,
+)
+from ._server import Handler, ServerConnection, encode_response, plain_error_response
+
+__all__ = [
+    "HOP_BY_HOP",
+    "MAX_BODY_BYTES",
+    "ClientPool",
+    "ConnectionLostError",
+    "Field",
+    "Handler",
+    "HttpError",
+    "NotSentError",
+    "Request",
+    "Response",
+    "ServerConnection",
+    "encode_request",
+    "encode_response",
+    "get_field",
+    "plain_error_response",
+    "strip_hop_by_hop",
+]
--- /dev/null
+++ b/packages/endivebeam-http/src/endivebeam_http/_parsers.py
@@ -0,0 +1,203 @@
+"""Incremental parsing of requests and responses on ``httptools``."""
+
+from collections import deque
+from http import HTTPStatus
+
+import httptools
+
+from ._messages import (
+    MAX_BODY_BYTES,
+    MAX_HEADER_BYTES,
+    MAX_HEADERS,
+    MAX_TARGET_BYTES,
+    Field,
+    HttpError,
+    Request,
+    Response,
+)
+
+_SINGLE_FIELDS = (b"content-length", b"host", b"transfer-encoding")
+
+
+class _Fields:
+    """Collects header fields and enforces their limits."""
+
+    def __init__(self) -> None:
+        self.items: list[Field] = []
+        self._bytes = 0
+
+    def add(self, name: bytes, value: bytes) -> None:
+        self._bytes += len(name) + len(value)
+        if self._bytes > MAX_HEADER_BYTES or len(self.items) >= MAX_HEADERS:
+            raise HttpError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                f"header fields exceed {MAX_HEADERS} fields or "
+                f"{MAX_HEADER_BYTES} bytes",
+            )
+        self.items.append(Field(name.lower(), value))
+
+    def check_framing(self) -> None:
+        """Refuse fields that let two parsers see different message ends."""
+        counts = dict.fromkeys(_SINGLE_FIELDS, 0)
+        for name, _ in self.items:
+            if name in counts:
+                counts[name] += 1
+        if any(count > 1 for count in counts.values()):
+            raise HttpError(
+                HTTPStatus.BAD_REQUEST, "a framing field occurs more than once"
+            )
+        if counts[b"content-length"] and counts[b"transfer-encoding"]:
+            raise HttpError(
+                HTTPStatus.BAD_REQUEST,
+                "Content-Length and Transfer-Encoding exclude each other",
+            )
+
+
+class _Parser:
+    """State shared by request and response parsers."""
+
+    def __init__(self, *, max_body_bytes: int) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._fields = _Fields()
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def on_message_begin(self) -> None:
+        self._fields = _Fields()
+        self._body = []
+        self._body_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._fields.add(name, value)
+
+    def on_body(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        if self._body_bytes > self._max_body_bytes:
+            raise HttpError(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f"body exceeds {self._max_body_bytes} bytes",
+            )
+        self._body.append(data)
+
+    def _take_body(self) -> bytes:
+        if len(self._body) == 1:
+            return self._body[0]
+        return b"".join(self._body)
+
+
+def _translate(error: Exception) -> HttpError:
+    # An error raised in a callback arrives as the cause of the parser's error.
+    for cause in (error.__context__, error.__cause__):
+        if isinstance(cause, HttpError):
+            return cause
+    return HttpError(HTTPStatus.BAD_REQUEST, f"malformed HTTP message: {error}")
+
+
+class RequestParser(_Parser):
+    """Turns received bytes into complete requests."""
+
+    def __init__(self, *, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        super().__init__(max_body_bytes=max_body_bytes)
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._done: deque[Request] = deque()
+        self.expects_continue = False
+        self.started = False
+
+    def feed(self, data: bytes) -> list[Request]:
+        """Add bytes and return the requests that are complete.
+
+        Raises ``HttpError``; the connection must then be closed.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise HttpError(
+                HTTPStatus.NOT_IMPLEMENTED, "protocol upgrades are not supported"
+            ) from None
+        except httptools.HttpParserError as error:
+            raise _translate(error) from None
+        done = list(self._done)
+        self._done.clear()
+        return done
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._target = b""
+        self.started = True
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+        if len(self._target) > MAX_TARGET_BYTES:
+            raise HttpError(HTTPStatus.REQUEST_URI_TOO_LONG, "request target too long")
+
+    def on_headers_complete(self) -> None:
+        self._fields.check_framing()
+        if self._parser.get_method() == b"CONNECT":
+            raise HttpError(HTTPStatus.NOT_IMPLEMENTED, "CONNECT is not supported")
+        for name, value in self._fields.items:
+            if name == b"content-length" and int(value) > self._max_body_bytes:
+                raise HttpError(
+                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                    f"body exceeds {self._max_body_bytes} bytes",
+                )
+            if name == b"expect":
+                self.expects_continue = value.lower() == b"100-continue"
+
+    def on_message_complete(self) -> None:
+        self.expects_continue = False
+        self.started = False
+        self._done.append(
+            Request(
+                method=self._parser.get_method().decode("ascii"),
+                target=self._target.decode("latin-1"),
+                fields=self._fields.items,
+                body=self._take_body(),
+                keep_alive=self._parser.should_keep_alive(),
+            )
+        )
+
+
+class ResponseParser(_Parser):
+    """Turns received bytes into one response at a time.
+
+    Set ``head_only`` before a response to a HEAD request is fed.
+    """
+
+    def __init__(self, *, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        super().__init__(max_body_bytes=max_body_bytes)
+        self._parser = httptools.HttpResponseParser(self)
+        self._response: Response | None = None
+        self.head_only = False
+
+    def feed(self, data: bytes) -> Response | None:
+        """Add bytes and return the response once it is complete.
+
+        Raises ``HttpError``; the connection must then be closed.
+        """
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._response is None:
+                raise _translate(error) from None
+        response = self._response
+        self._response = None
+        return response
+
+    def on_headers_complete(self) -> None:
+        self._fields.check_framing()
+        if self.head_only:
+            self._finish(keep_alive=False)
+
+    def on_message_complete(self) -> None:
+        if self.head_only or self._parser.get_status_code() < 200:
+            return
+        self._finish(keep_alive=self._parser.should_keep_alive())
+
+    def _finish(self, *, keep_alive: bool) -> None:
+        self._response = Response(
+            status=self._parser.get_status_code(),
+            fields=self._fields.items,
+            body=self._take_body(),
+            keep_alive=keep_alive,
+        )
--- /dev/null
+++ b/packages/endivebeam-limits/src/endivebeam_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate shares, concurrency limits, admission queue and retry budgets."""
--- /dev/null
+++ b/packages/endivebeam-membership/src/endivebeam_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Member records, overlay and failure detection."""
--- /dev/null
+++ b/packages/endivebeam-model/src/endivebeam_model/__init__.py
@@ -0,0 +1,86 @@
+"""Contracts, routes, configuration and member records of endivebeam."""
+
+from ._changes import (
+    Change,
+    IssueKey,
+    LogEntry,
+    PutContract,
+    PutService,
+    RemoveContract,
+    RemoveService,
+    VersionGap,
+    WithdrawKey,
+    apply_entry,
+)
+from ._contracts import (
+    DEFAULT_RETRY_CREDITS,
+    DEFAULT_TIMEOUT_S,
+    Contract,
+    Key,
+    Objectives,
+    Route,
+    Service,
+    Snapshot,
+)
+from ._ids import (
+    AccountId,
+    ChainId,
+    ConfigVersion,
+    DomainName,
+    KeyDigest,
+    NodeId,
+    OperationId,
+    RegionName,
+    ServiceName,
+)
+from ._lookup import authenticate, digest_key, find_route
+from ._members import Address, Member
+from ._refusals import Refusal
+from ._states import (
+    Criticality,
+    MemberState,
+    RefusalReason,
+    RunStatus,
+    Semantics,
+)
+
+__all__ = [
+    "DEFAULT_RETRY_CREDITS",
+    "DEFAULT_TIMEOUT_S",
+    "AccountId",
+    "Address",
+    "ChainId",
+    "Change",
+    "ConfigVersion",
+    "Contract",
+    "Criticality",
+    "DomainName",
+    "IssueKey",
+    "Key",
+    "KeyDigest",
+    "LogEntry",
+    "Member",
+    "MemberState",
+    "NodeId",
+    "Objectives",
+    "OperationId",
+    "PutContract",
+    "PutService",
+    "Refusal",
+    "RefusalReason",
+    "RegionName",
+    "RemoveContract",
+    "RemoveService",
+    "Route",
+    "RunStatus",
+    "Semantics",
+    "Service",
+    "ServiceName",
+    "Snapshot",
+    "VersionGap",
+    "WithdrawKey",
+    "apply_entry",
+    "authenticate",
+    "digest_key",
+    "find_route",
+]
--- /dev/null
+++ b/packages/endivebeam-model/src/endivebeam_model/_ids.py
@@ -0,0 +1,17 @@
+"""Identifiers as distinct types, so that a checker tells them apart."""
+
+from typing import NewType
+
+NodeId = NewType("NodeId", str)
+AccountId = NewType("AccountId", str)
+ServiceName = NewType("ServiceName", str)
+DomainName = NewType("DomainName", str)
+RegionName = NewType("RegionName", str)
+OperationId = NewType("OperationId", str)
+ChainId = NewType("ChainId", str)
+
+KeyDigest = NewType("KeyDigest", str)
+"""Lower-case hexadecimal SHA-256 digest of a client key."""
+
+ConfigVersion = NewType("ConfigVersion", int)
+"""Version of the configuration; the empty configuration has version 0."""
--- /dev/null
+++ b/packages/endivebeam-model/src/endivebeam_model/_lookup.py
@@ -0,0 +1,59 @@
+"""Look-ups that every call makes: its route and the account of its key."""
+
+import hashlib
+
+from returns.result import Failure, Result, Success
+
+from ._contracts import Contract, Route, Service, Snapshot
+from ._ids import KeyDigest
+from ._states import RefusalReason
+
+
+def digest_key(key: str) -> KeyDigest:
+    """Return the SHA-256 digest under which a client key is stored.
+
+    >>> digest_key("eb_example")[:8]
+    '9ed87af5'
+    """
+    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
+
+
+def find_route(service: Service, method: str, path: str) -> Route | None:
+    """Return the route with the longest matching path.
+
+    Among equal paths a named method goes before ``*``.
+    """
+    best: Route | None = None
+    best_rank = (-1, False)
+    for route in service.routes:
+        if route.method not in (method, "*"):
+            continue
+        if not _covers(route.path, path):
+            continue
+        rank = (len(route.path), route.method != "*")
+        if rank > best_rank:
+            best = route
+            best_rank = rank
+    return best
+
+
+def _covers(prefix: str, path: str) -> bool:
+    trimmed = prefix.rstrip("/")
+    return path == trimmed or path.startswith(trimmed + "/")
+
+
+def authenticate(snapshot: Snapshot, key: str) -> Result[Contract, RefusalReason]:
+    """Return the contract of the client account that a key belongs to.
+
+    The table is indexed by digest. Looking up a digest leaks no prefix of a
+    key through timing, because the caller cannot choose the digest bytes.
+    """
+    record = snapshot.keys.get(digest_key(key))
+    if record is None:
+        return Failure(RefusalReason.KEY_UNKNOWN)
+    if record.withdrawn:
+        return Failure(RefusalReason.KEY_WITHDRAWN)
+    contract = snapshot.contracts.get(record.account)
+    if contract is None:
+        return Failure(RefusalReason.KEY_WITHDRAWN)
+    return Success(contract)
--- /dev/null
+++ b/packages/endivebeam-model/src/endivebeam_model/_members.py
@@ -0,0 +1,32 @@
+"""Member records: what every node knows about every other node."""
+
+import msgspec
+
+from ._ids import DomainName, NodeId, RegionName, ServiceName
+from ._states import MemberState
+
+
+class Address(msgspec.Struct, frozen=True, array_like=True):
+    """IP address and TCP port."""
+
+    host: str
+    port: int
+
+
+class Member(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One node with the target beside it.
+
+    The pair (``incarnation``, ``sequence``) orders versions of a record; only
+    the node itself raises its incarnation. ``service`` is empty for a node
+    whose target has not announced itself.
+    """
+
+    node_id: NodeId
+    incarnation: int
+    sequence: int
+    address: Address
+    region: RegionName
+    domain: DomainName
+    service: ServiceName
+    slots: int
+    state: MemberState
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/__init__.py
@@ -0,0 +1,15 @@
+"""The endivebeam node daemon."""
+
+from ._daemon import Ports, run_daemon
+from ._main import main
+from ._settings import Operator, SeedAddress, Settings, load_settings
+
+__all__ = [
+    "Operator",
+    "Ports",
+    "SeedAddress",
+    "Settings",
+    "load_settings",
+    "main",
+    "run_daemon",
+]
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon with ``python -m endivebeam_node``."""
+
+from ._main import main
+
+main()
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_callers.py
@@ -0,0 +1,271 @@
+"""The caller port: authenticates, admits and answers calls from outside."""
+
+import secrets
+from http import HTTPStatus
+
+from returns.pipeline import is_successful
+
+from endivebeam_http import (
+    HOP_BY_HOP,
+    Field,
+    HttpError,
+    Request,
+    Response,
+    get_field,
+)
+from endivebeam_model import (
+    AccountId,
+    ChainId,
+    Contract,
+    Refusal,
+    RefusalReason,
+    Route,
+    Semantics,
+    ServiceName,
+    authenticate,
+    digest_key,
+    find_route,
+)
+from endivebeam_wire import CallAnswer, CallRefused, CallRequest, Header
+
+from ._calls import CallPath
+from ._config import ConfigCopy
+from ._ports import TakeToken
+
+OPEN_ACCOUNT = AccountId("")
+KEY_FIELDS = frozenset({b"authorization", b"x-api-key"})
+TIMEOUT_FIELD = b"endivebeam-timeout-ms"
+IDEMPOTENCY_FIELD = b"idempotency-key"
+MAX_IDEMPOTENCY_KEY_BYTES = 200
+
+# Fields that only nodes may set; a caller's values are never passed on.
+INTERNAL_FIELDS = frozenset({b"endivebeam-context", TIMEOUT_FIELD, b"endivebeam-run"})
+
+_ERROR_REASONS = {
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: RefusalReason.BODY_TOO_LARGE,
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: RefusalReason.HEADERS_TOO_LARGE,
+    HTTPStatus.REQUEST_TIMEOUT: RefusalReason.REQUEST_TIMEOUT,
+}
+
+
+class RefusedError(Exception):
+    """A call that ends with a refusal before it is routed."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+def split_target(target: str) -> tuple[ServiceName, str]:
+    """Split ``/service/path?query`` into the service and the rest.
+
+    >>> split_target("/bookings/slots?day=3")
+    ('bookings', '/slots?day=3')
+    """
+    service, slash, rest = target.lstrip("/").partition("/")
+    if not slash:
+        service, mark, query = service.partition("?")
+        return ServiceName(service), "/" + mark + query
+    return ServiceName(service), slash + rest
+
+
+def resolve_route(
+    config: ConfigCopy, request: Request
+) -> tuple[ServiceName, str, Route]:
+    """Return the service, the path within it and the route of a request.
+
+    Raises ``RefusedError`` when the service or the route is unknown.
+    """
+    name, path = split_target(request.target)
+    service = config.snapshot.services.get(name)
+    route = None
+    if service is not None:
+        route = find_route(service, request.method, path.partition("?")[0])
+    if route is None:
+        raise RefusedError(
+            Refusal(
+                reason=RefusalReason.NO_ROUTE,
+                message=f"no route for {request.method} {path} of service {name!r}; "
+                "check the path, or ask the operator to add the route",
+            )
+        )
+    return name, path, route
+
+
+def read_timeout_s(request: Request, route: Route) -> float:
+    """Return the shorter of the route's timeout and the caller's."""
+    value = request.get(TIMEOUT_FIELD)
+    if value is None:
+        return route.timeout_s
+    try:
+        asked_s = int(value) / 1000
+    except ValueError:
+        asked_s = 0.0
+    if asked_s <= 0:
+        raise RefusedError(
+            Refusal(
+                reason=RefusalReason.BAD_REQUEST,
+                message="Endivebeam-Timeout-Ms must be a positive integer",
+            )
+        )
+    return min(route.timeout_s, asked_s)
+
+
+def read_idempotency_key(request: Request, route: Route) -> str:
+    """Return the idempotency key; raise when a route needs one and it is absent."""
+    value = request.get(IDEMPOTENCY_FIELD) or b""
+    if len(value) > MAX_IDEMPOTENCY_KEY_BYTES:
+        raise RefusedError(
+            Refusal(
+                reason=RefusalReason.BAD_REQUEST,
+                message=f"Idempotency-Key exceeds {MAX_IDEMPOTENCY_KEY_BYTES} bytes",
+            )
+        )
+    if not value and route.semantics is Semantics.AT_MOST_ONCE:
+        raise RefusedError(
+            Refusal(
+                reason=RefusalReason.IDEMPOTENCY_KEY_REQUIRED,
+                message="this route runs at most once; send an Idempotency-Key",
+            )
+        )
+    return value.decode("latin-1")
+
+
+def new_chain_id() -> ChainId:
+    """Return an id for a new call chain."""
+    return ChainId(secrets.token_hex(8))
+
+
+def refusal_response(refusal: Refusal) -> Response:
+    """Return the response that a caller gets for a refusal."""
+    fields = [
+        Field(b"content-type", b"application/json"),
+        Field(b"endivebeam-reason", refusal.reason.value.encode()),
+        Field(b"endivebeam-run", refusal.run.value.encode()),
+    ]
+    if refusal.retry_after_s is not None:
+        seconds = max(1, round(refusal.retry_after_s))
+        fields.append(Field(b"retry-after", b"%d" % seconds))
+    return Response(status=refusal.status, fields=fields, body=refusal.to_json())
+
+
+def error_response(error: HttpError) -> Response:
+    """Return the refusal for a request that could not be read."""
+    reason = _ERROR_REASONS.get(error.status, RefusalReason.BAD_REQUEST)
+    return refusal_response(Refusal(reason=reason, message=error.message))
+
+
+def outcome_response(outcome: CallAnswer | CallRefused) -> Response:
+    """Return the response for the outcome of a call."""
+    match outcome:
+        case CallAnswer(status=status, headers=headers, body=body):
+            fields = [Field(h.name, h.value) for h in headers]
+            return Response(status=status, fields=fields, body=body)
+        case CallRefused(refusal=refusal):
+            return refusal_response(refusal)
+
+
+class CallerHandler:
+    """Handles requests of the caller port."""
+
+    def __init__(
+        self, *, config: ConfigCopy, calls: CallPath, take_token: TakeToken
+    ) -> None:
+        self._config = config
+        self._calls = calls
+        self._take_token = take_token
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request from outside."""
+        try:
+            call = await self._accept(request)
+        except RefusedError as error:
+            return refusal_response(error.refusal)
+        outcome = await self._calls.route(call)
+        return outcome_response(outcome)
+
+    async def _accept(self, request: Request) -> CallRequest:
+        service, path, route = resolve_route(self._config, request)
+        contract = self._authorize(request, route, service)
+        timeout_s = read_timeout_s(request, route)
+        key = read_idempotency_key(request, route)
+        if contract is not None:
+            refusal = await self._take_token(contract)
+            if refusal is not None:
+                raise RefusedError(refusal)
+        return CallRequest(
+            request_id=0,
+            service=service,
+            method=request.method,
+            path=path,
+            headers=forwarded_headers(request.fields),
+            body=request.body,
+            account=OPEN_ACCOUNT if contract is None else contract.account,
+            chain_id=new_chain_id(),
+            depth=1,
+            timeout_ms=round(timeout_s * 1000),
+            criticality=route.criticality,
+            semantics=route.semantics,
+            retry_credits=0 if contract is None else contract.retry_credits,
+            idempotency_key=key,
+        )
+
+    def _authorize(
+        self, request: Request, route: Route, service: ServiceName
+    ) -> Contract | None:
+        key = read_key(request.fields)
+        if key is None:
+            if route.open:
+                return None
+            raise RefusedError(
+                Refusal(
+                    reason=RefusalReason.KEY_MISSING,
+                    message="send the key as Authorization: Bearer or X-Api-Key",
+                )
+            )
+        if digest_key(key) in self._config.withdrawn:
+            raise RefusedError(_key_refusal(RefusalReason.KEY_WITHDRAWN))
+        known = authenticate(self._config.snapshot, key)
+        if not is_successful(known):
+            raise RefusedError(_key_refusal(known.failure()))
+        contract = known.unwrap()
+        _check_service(contract, service)
+        return contract
+
+
+def read_key(fields: list[Field]) -> str | None:
+    """Return the client key of a request, or None."""
+    value = get_field(fields, b"authorization")
+    if value is not None:
+        scheme, _, token = value.partition(b" ")
+        if scheme.lower() == b"bearer" and token:
+            return token.strip().decode("latin-1")
+    value = get_field(fields, b"x-api-key")
+    return None if value is None else value.strip().decode("latin-1")
+
+
+def forwarded_headers(fields: list[Field]) -> list[Header]:
+    """Return the fields that may reach a target: no keys, no internal fields."""
+    named = get_field(fields, b"connection") or b""
+    listed = {name.strip().lower() for name in named.split(b",")}
+    dropped = KEY_FIELDS | INTERNAL_FIELDS | HOP_BY_HOP | listed
+    return [Header(*f) for f in fields if f.name not in dropped]
+
+
+def _key_refusal(reason: RefusalReason) -> Refusal:
+    if reason is RefusalReason.KEY_WITHDRAWN:
+        message = "this key was withdrawn; ask the operator for a new one"
+    else:
+        message = "this key is not known; check it, or ask the operator for a key"
+    return Refusal(reason=reason, message=message)
+
+
+def _check_service(contract: Contract, service: ServiceName) -> None:
+    if contract.services and service not in contract.services:
+        raise RefusedError(
+            Refusal(
+                reason=RefusalReason.SERVICE_NOT_ALLOWED,
+                message=f"the contract of {contract.account} does not include "
+                f"service {service}",
+            )
+        )
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_calls.py
@@ -0,0 +1,207 @@
+"""The call path: from an entry or nested call to the target that runs it."""
+
+import time
+
+import anyio
+import msgspec
+
+from endivebeam_model import (
+    Member,
+    NodeId,
+    RefusalReason,
+    RunStatus,
+    Semantics,
+)
+from endivebeam_wire import (
+    CallAnswer,
+    CallRefused,
+    CallRequest,
+    StreamFullError,
+    StreamLostError,
+)
+
+from ._outcomes import NO_LOAD, RETRY_AFTER_S, refuse
+from ._peers import Peers, UnreachableError
+from ._ports import (
+    Admit,
+    ChooseTarget,
+    Forward,
+    Observation,
+    Observe,
+    Outcome,
+    RunOnce,
+)
+
+MAX_MOVES = 3
+
+
+class CallPath:
+    """Routes calls to target nodes and runs those for the local target."""
+
+    def __init__(
+        self,
+        *,
+        local: NodeId,
+        peers: Peers,
+        choose: ChooseTarget,
+        observe: Observe,
+        admit: Admit,
+        forward: Forward,
+        run_once: RunOnce,
+    ) -> None:
+        self._local = local
+        self._peers = peers
+        self._choose = choose
+        self._observe = observe
+        self._admit = admit
+        self._forward = forward
+        self._run_once = run_once
+        self.draining = False
+
+    async def route(self, call: CallRequest) -> Outcome:
+        """Send a call to a target of its service, with retries within its credits.
+
+        A refusal that only says that the call went to the wrong node (draining,
+        no target, unreachable) moves the call to another one without spending
+        a credit, at most ``MAX_MOVES`` times.
+        """
+        excluded: frozenset[NodeId] = frozenset()
+        moves = 0
+        started = time.monotonic()
+        while True:
+            left = call.timeout_ms - round((time.monotonic() - started) * 1000)
+            member = self._choose(call.service, excluded)
+            if member is None or left <= 0:
+                return _no_target(call, left)
+            sent = msgspec.structs.replace(call, timeout_ms=left)
+            outcome = await self._attempt(member, sent)
+            match outcome:
+                case CallAnswer():
+                    return outcome
+                case CallRefused(retry_credits=credits):
+                    excluded = excluded | {member.node_id}
+                    if _is_move(outcome) and moves < MAX_MOVES:
+                        moves += 1
+                        continue
+                    if credits < 1 or not _may_retry(call, outcome):
+                        return outcome
+                    call = msgspec.structs.replace(call, retry_credits=credits - 1)
+
+    async def serve(self, call: CallRequest) -> Outcome:
+        """Run a call on the target beside this node."""
+        if self.draining:
+            return refuse(
+                RefusalReason.DRAINING,
+                "this node is about to stop",
+                retry_after_s=RETRY_AFTER_S,
+                credits=call.retry_credits,
+            )
+        if call.semantics is Semantics.AT_MOST_ONCE:
+            return await self._run_once(call, self._serve_admitted)
+        return await self._serve_admitted(call)
+
+    async def _serve_admitted(self, call: CallRequest) -> Outcome:
+        dispatched = False
+        with anyio.move_on_after(call.timeout_ms / 1000):
+            async with self._admit(call) as admission:
+                refusal = admission.swap().value_or(None)
+                if refusal is not None:
+                    return CallRefused(
+                        request_id=0,
+                        refusal=refusal,
+                        retry_credits=call.retry_credits,
+                        load=NO_LOAD,
+                    )
+                dispatched = True
+                return await self._forward(call)
+        run = RunStatus.UNKNOWN if dispatched else RunStatus.NOT_RUN
+        return refuse(
+            RefusalReason.DEADLINE_EXCEEDED,
+            "the deadline passed before the target answered",
+            run=run,
+        )
+
+    async def _attempt(self, member: Member, call: CallRequest) -> Outcome:
+        started = time.monotonic()
+        if member.node_id == self._local:
+            outcome = await self.serve(call)
+        else:
+            outcome = await self._ask_peer(member, call)
+        latency_s = time.monotonic() - started
+        if isinstance(outcome, CallAnswer):
+            self._observe(
+                member.node_id, Observation(latency_s=latency_s, load=outcome.load)
+            )
+        return outcome
+
+    async def _ask_peer(self, member: Member, call: CallRequest) -> Outcome:
+        try:
+            stream = await self._peers.connect(member.address)
+        except UnreachableError as error:
+            self._observe(member.node_id, Observation(unreachable=True))
+            return refuse(
+                RefusalReason.NO_TARGET,
+                f"the target's node is unreachable: {error}",
+                retry_after_s=RETRY_AFTER_S,
+                credits=call.retry_credits,
+            )
+        # One credit stays here, so that a lost stream does not lose all of them.
+        kept = 1 if call.retry_credits > 1 else 0
+        request = msgspec.structs.replace(
+            call,
+            request_id=stream.next_id(),
+            retry_credits=call.retry_credits - kept,
+        )
+        try:
+            with anyio.fail_after(call.timeout_ms / 1000):
+                reply = await stream.ask(request)
+        except StreamFullError:
+            return refuse(
+                RefusalReason.OVERLOADED,
+                "too many calls wait on the stream to the target's node",
+                retry_after_s=RETRY_AFTER_S,
+                credits=call.retry_credits,
+            )
+        except TimeoutError:
+            return refuse(
+                RefusalReason.DEADLINE_EXCEEDED,
+                "the deadline passed before the target's node answered",
+                run=RunStatus.UNKNOWN,
+            )
+        except StreamLostError:
+            self._observe(member.node_id, Observation(unreachable=True))
+            return refuse(
+                RefusalReason.TARGET_FAILED,
+                "the stream to the target's node was lost",
+                run=RunStatus.UNKNOWN,
+                credits=kept,
+            )
+        assert isinstance(reply, CallAnswer | CallRefused)
+        # A peer cannot return more credits than it was lent.
+        returned = min(reply.retry_credits, request.retry_credits)
+        return msgspec.structs.replace(reply, retry_credits=returned + kept)
+
+
+def _is_move(outcome: CallRefused) -> bool:
+    reason = outcome.refusal.reason
+    return reason in (RefusalReason.DRAINING, RefusalReason.NO_TARGET)
+
+
+def _may_retry(call: CallRequest, outcome: CallRefused) -> bool:
+    refusal = outcome.refusal
+    if refusal.reason is RefusalReason.OVERLOADED:
+        return True
+    if refusal.reason is not RefusalReason.TARGET_FAILED:
+        return False
+    return call.semantics is Semantics.IDEMPOTENT
+
+
+def _no_target(call: CallRequest, left_ms: int) -> CallRefused:
+    if left_ms <= 0:
+        return refuse(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed")
+    return refuse(
+        RefusalReason.NO_TARGET,
+        f"no target of service {call.service} is available",
+        retry_after_s=RETRY_AFTER_S,
+        credits=call.retry_credits,
+    )
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_config.py
@@ -0,0 +1,82 @@
+"""This node's copy of the configuration."""
+
+from collections import deque
+from collections.abc import Callable, Sequence
+
+import msgspec
+from loguru import logger
+from returns.result import Success
+
+from endivebeam_model import (
+    ConfigVersion,
+    IssueKey,
+    KeyDigest,
+    LogEntry,
+    Snapshot,
+    WithdrawKey,
+    apply_entry,
+)
+
+RECENT_ENTRIES = 1024
+
+
+class ConfigCopy:
+    """The snapshot in force on this node; its version only rises."""
+
+    def __init__(self) -> None:
+        self.snapshot = Snapshot()
+        self.withdrawn: frozenset[KeyDigest] = frozenset()
+        self._recent: deque[LogEntry] = deque(maxlen=RECENT_ENTRIES)
+        self._listeners: list[Callable[[Snapshot], None]] = []
+
+    @property
+    def version(self) -> ConfigVersion:
+        """Version in force."""
+        return self.snapshot.version
+
+    def listen(self, listener: Callable[[Snapshot], None]) -> None:
+        """Call a function after each change."""
+        self._listeners.append(listener)
+
+    def apply(self, entries: Sequence[LogEntry]) -> int:
+        """Apply the entries that follow; return how many were applied."""
+        applied = 0
+        for entry in entries:
+            match apply_entry(self.snapshot, entry):
+                case Success(snapshot):
+                    self.snapshot = snapshot
+                    self._recent.append(entry)
+                    applied += 1
+        if applied:
+            logger.info("config: version {} in force", self.version)
+            self._notify()
+        return applied
+
+    def entries_after(self, version: ConfigVersion) -> list[LogEntry]:
+        """Return recent entries after a version; empty when they are gone."""
+        found = [entry for entry in self._recent if entry.version > version]
+        if found and found[0].version == version + 1:
+            return found
+        return []
+
+    def withdraw(self, digest: KeyDigest) -> bool:
+        """Withdraw a key ahead of the log; return whether it is new."""
+        if digest in self.withdrawn:
+            return False
+        self.withdrawn = self.withdrawn | {digest}
+        self._notify()
+        return True
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener(self.snapshot)
+
+
+def redact_entry(entry: LogEntry) -> str:
+    """Describe a change for logs; keys appear as the start of their digest."""
+    match entry.change:
+        case IssueKey(key=key):
+            return f"issue key {key.digest[:8]} of account {key.account}"
+        case WithdrawKey(digest=digest):
+            return f"withdraw key {digest[:8]}"
+    return msgspec.json.encode(entry.change).decode()
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_forward.py
@@ -0,0 +1,130 @@
+"""Sends admitted calls to the target beside this node."""
+
+import anyio
+import anyio.abc
+from loguru import logger
+
+from endivebeam_http import (
+    ClientPool,
+    ConnectionLostError,
+    Field,
+    HttpError,
+    NotSentError,
+    Request,
+    Response,
+    get_field,
+    strip_hop_by_hop,
+)
+from endivebeam_model import RefusalReason, RunStatus
+from endivebeam_wire import CallAnswer, CallRequest, Header
+
+from ._inflight import Context, InFlight
+from ._outcomes import RETRY_AFTER_S, refuse
+from ._ports import Outcome, ReportLoad
+from ._targets import Announcement, LocalTarget
+
+CONTEXT_FIELD = b"endivebeam-context"
+RUN_FIELD = b"endivebeam-run"
+TIMEOUT_FIELD = b"endivebeam-timeout-ms"
+
+
+class TargetForwarder:
+    """Forwards calls to the local target over pooled loopback connections."""
+
+    def __init__(
+        self,
+        *,
+        tasks: anyio.abc.TaskGroup,
+        target: LocalTarget,
+        in_flight: InFlight,
+        report_load: ReportLoad,
+    ) -> None:
+        self._tasks = tasks
+        self._target = target
+        self._in_flight = in_flight
+        self._report_load = report_load
+        self._pool: ClientPool | None = None
+        self._pool_port = 0
+
+    async def forward(self, call: CallRequest) -> Outcome:
+        """Send a call to the target and return its outcome."""
+        announcement = self._target.current(anyio.current_time())
+        if announcement is None or announcement.service != call.service:
+            return refuse(
+                RefusalReason.NO_TARGET,
+                f"no target of service {call.service} is announced here",
+                retry_after_s=RETRY_AFTER_S,
+                credits=call.retry_credits,
+            )
+        pool = self._pool_for(announcement)
+        deadline = anyio.current_time() + call.timeout_ms / 1000
+        context = self._in_flight.open(call, deadline)
+        try:
+            return await self._exchange(pool, call, context)
+        finally:
+            self._in_flight.close(context)
+
+    async def _exchange(
+        self, pool: ClientPool, call: CallRequest, context: Context
+    ) -> Outcome:
+        try:
+            response = await pool.request(_to_request(call, context))
+        except NotSentError:
+            logger.warning("calls: the target refused the connection")
+            self._target.forget()
+            return refuse(
+                RefusalReason.NO_TARGET,
+                "the target does not accept connections",
+                retry_after_s=RETRY_AFTER_S,
+                credits=context.retry_credits,
+            )
+        except (ConnectionLostError, HttpError) as error:
+            return refuse(
+                RefusalReason.TARGET_FAILED,
+                f"the target failed before it answered: {error}",
+                run=RunStatus.UNKNOWN,
+                credits=context.retry_credits,
+            )
+        if _is_refusal(response):
+            return refuse(
+                RefusalReason.OVERLOADED,
+                "the target refused the call without running it",
+                retry_after_s=RETRY_AFTER_S,
+                credits=context.retry_credits,
+                load=self._report_load(),
+            )
+        return CallAnswer(
+            request_id=call.request_id,
+            status=response.status,
+            headers=[Header(*f) for f in strip_hop_by_hop(response.fields)],
+            body=response.body,
+            retry_credits=context.retry_credits,
+            load=self._report_load(),
+        )
+
+    def _pool_for(self, announcement: Announcement) -> ClientPool:
+        if self._pool is None or self._pool_port != announcement.port:
+            port = announcement.port
+
+            async def connect() -> anyio.abc.ByteStream:
+                return await anyio.connect_tcp("127.0.0.1", port)
+
+            self._pool_port = port
+            self._pool = ClientPool(
+                connect=connect, tasks=self._tasks, host=f"127.0.0.1:{port}"
+            )
+        return self._pool
+
+
+def _to_request(call: CallRequest, context: Context) -> Request:
+    fields = [Field(h.name, h.value) for h in call.headers]
+    fields.append(Field(CONTEXT_FIELD, context.token.encode()))
+    fields.append(Field(TIMEOUT_FIELD, b"%d" % call.timeout_ms))
+    if get_field(fields, b"traceparent") is None:
+        parent = f"00-{context.trace_id}-{context.token[:16]}-00"
+        fields.append(Field(b"traceparent", parent.encode()))
+    return Request(method=call.method, target=call.path, fields=fields, body=call.body)
+
+
+def _is_refusal(response: Response) -> bool:
+    return response.status == 503 and response.get(RUN_FIELD) == b"not-run"
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_inflight.py
@@ -0,0 +1,105 @@
+"""Calls that the local target is serving, found again by its nested calls."""
+
+import secrets
+from dataclasses import dataclass
+
+from endivebeam_model import AccountId
+from endivebeam_wire import CallRequest
+
+MAX_IN_FLIGHT = 8192
+
+
+def parse_trace_id(traceparent: str | None) -> str | None:
+    """Return the trace id of a W3C ``traceparent`` value, or None.
+
+    >>> parse_trace_id("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+    '0af7651916cd43dd8448eb211c80319c'
+    """
+    if traceparent is None:
+        return None
+    fields = traceparent.split("-")
+    if len(fields) < 4 or len(fields[1]) != 32:
+        return None
+    return fields[1]
+
+
+def _given_trace_id(call: CallRequest) -> str | None:
+    for name, value in call.headers:
+        if name == b"traceparent":
+            return parse_trace_id(value.decode("latin-1"))
+    return None
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Context:
+    """State of one call that nested calls share.
+
+    ``retry_credits`` are what is left for the whole chain below this call;
+    ``lent`` is true while a nested call holds them. ``deadline`` is monotonic.
+    """
+
+    token: str
+    trace_id: str
+    call: CallRequest
+    deadline: float
+    retry_credits: int
+    lent: bool = False
+
+
+class InFlight:
+    """Contexts by token and by trace id."""
+
+    def __init__(self) -> None:
+        self._by_token: dict[str, Context] = {}
+        self._by_trace: dict[str, list[Context]] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_token)
+
+    def open(self, call: CallRequest, deadline: float) -> Context:
+        """Register a call before it is forwarded to the target."""
+        token = secrets.token_hex(16)
+        context = Context(
+            token=token,
+            trace_id=_given_trace_id(call) or secrets.token_hex(16),
+            call=call,
+            deadline=deadline,
+            retry_credits=call.retry_credits,
+        )
+        self._by_token[token] = context
+        self._by_trace.setdefault(context.trace_id, []).append(context)
+        return context
+
+    def close(self, context: Context) -> None:
+        """Forget a call; its token is not valid any more."""
+        self._by_token.pop(context.token, None)
+        sharing = self._by_trace.get(context.trace_id, [])
+        if context in sharing:
+            sharing.remove(context)
+        if not sharing:
+            self._by_trace.pop(context.trace_id, None)
+
+    def find(self, token: str | None, traceparent: str | None) -> Context | None:
+        """Return the call that a nested call belongs to.
+
+        Callers choose trace ids, so calls of different accounts may share one.
+        Such an id tells nothing about the account and finds no call.
+        """
+        if token is not None:
+            return self._by_token.get(token)
+        trace_id = parse_trace_id(traceparent)
+        sharing = self._by_trace.get(trace_id or "", [])
+        if len({context.call.account for context in sharing}) != 1:
+            return None
+        return sharing[0]
+
+    def common_account(self) -> Context | None:
+        """Return the context with the earliest deadline if all share an account.
+
+        Used for a nested call that lost its context: it can be attributed only
+        when there is no other account that it could belong to.
+        """
+        accounts: set[AccountId] = {c.call.account for c in self._by_token.values()}
+        if len(accounts) != 1:
+            return None
+        return min(self._by_token.values(), key=lambda context: context.deadline)
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_nested.py
@@ -0,0 +1,216 @@
+"""The local port: announcements of the target and its outgoing calls."""
+
+import hashlib
+from collections.abc import Callable
+
+import anyio
+from returns.result import Failure, Success
+
+from endivebeam_http import Request, Response
+from endivebeam_model import (
+    Refusal,
+    RefusalReason,
+    Route,
+    Semantics,
+    ServiceName,
+)
+from endivebeam_wire import CallRequest
+
+from ._callers import (
+    IDEMPOTENCY_FIELD,
+    OPEN_ACCOUNT,
+    RefusedError,
+    forwarded_headers,
+    new_chain_id,
+    outcome_response,
+    read_idempotency_key,
+    read_timeout_s,
+    refusal_response,
+    resolve_route,
+)
+from ._calls import CallPath
+from ._config import ConfigCopy
+from ._forward import CONTEXT_FIELD
+from ._inflight import Context, InFlight
+from ._targets import Announcement, LocalTarget
+
+ANNOUNCE_PATH = "/v1/target"
+MAX_DEPTH = 32
+
+
+class LocalHandler:
+    """Handles requests of the target beside this node."""
+
+    def __init__(
+        self,
+        *,
+        config: ConfigCopy,
+        calls: CallPath,
+        target: LocalTarget,
+        in_flight: InFlight,
+        on_announcement: Callable[[Announcement], None],
+    ) -> None:
+        self._config = config
+        self._calls = calls
+        self._target = target
+        self._in_flight = in_flight
+        self._on_announcement = on_announcement
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request of the target."""
+        if request.method == "PUT" and request.target == ANNOUNCE_PATH:
+            return self._announce(request)
+        try:
+            return await self._call(request)
+        except RefusedError as error:
+            return refusal_response(error.refusal)
+
+    def _announce(self, request: Request) -> Response:
+        match self._target.announce(request.body, anyio.current_time()):
+            case Success(announcement):
+                self._on_announcement(announcement)
+                return Response(status=204)
+            case Failure(message):
+                return refusal_response(
+                    Refusal(reason=RefusalReason.BAD_REQUEST, message=message)
+                )
+        raise AssertionError("a result is a success or a failure")
+
+    async def _call(self, request: Request) -> Response:
+        service, path, route = resolve_route(self._config, request)
+        context = self._find_context(request)
+        if context is None:
+            if not route.open:
+                raise RefusedError(_context_missing())
+            call = _without_context(request, service, path, route)
+            return outcome_response(await self._calls.route(call))
+        return await self._call_in(context, request, service, path, route)
+
+    async def _call_in(
+        self,
+        context: Context,
+        request: Request,
+        service: ServiceName,
+        path: str,
+        route: Route,
+    ) -> Response:
+        lends = not context.lent and _names_context(request)
+        credits = context.retry_credits if lends else 0
+        call = _nested_call(context, request, service, path, route, credits)
+        if lends:
+            context.lent = True
+            context.retry_credits = 0
+        try:
+            outcome = await self._calls.route(call)
+            if lends:
+                context.retry_credits = min(credits, outcome.retry_credits)
+        finally:
+            if lends:
+                context.lent = False
+        return outcome_response(outcome)
+
+    def _find_context(self, request: Request) -> Context | None:
+        token = request.get(CONTEXT_FIELD)
+        parent = request.get(b"traceparent")
+        if token is None and parent is None:
+            return self._in_flight.common_account()
+        found = self._in_flight.find(
+            None if token is None else token.decode("latin-1"),
+            None if parent is None else parent.decode("latin-1"),
+        )
+        if found is None and token is None:
+            return self._in_flight.common_account()
+        return found
+
+
+def _names_context(request: Request) -> bool:
+    # A call attributed only by its account gets no retry credits.
+    return (
+        request.get(CONTEXT_FIELD) is not None
+        or request.get(b"traceparent") is not None
+    )
+
+
+def _context_missing() -> Refusal:
+    return Refusal(
+        reason=RefusalReason.CONTEXT_MISSING,
+        message="this call names no call in flight; repeat the "
+        "Endivebeam-Context or traceparent header of the call being served",
+    )
+
+
+def _nested_call(
+    context: Context,
+    request: Request,
+    service: ServiceName,
+    path: str,
+    route: Route,
+    credits: int,
+) -> CallRequest:
+    parent = context.call
+    if parent.depth >= MAX_DEPTH:
+        raise RefusedError(
+            Refusal(
+                reason=RefusalReason.CHAIN_TOO_DEEP,
+                message=f"the call chain is deeper than {MAX_DEPTH} calls",
+            )
+        )
+    left_s = context.deadline - anyio.current_time()
+    timeout_s = min(left_s, read_timeout_s(request, route))
+    return CallRequest(
+        request_id=0,
+        service=service,
+        method=request.method,
+        path=path,
+        headers=forwarded_headers(request.fields),
+        body=request.body,
+        account=parent.account,
+        chain_id=parent.chain_id,
+        depth=parent.depth + 1,
+        timeout_ms=max(0, round(timeout_s * 1000)),
+        criticality=route.criticality,
+        semantics=route.semantics,
+        retry_credits=credits,
+        idempotency_key=_nested_key(parent, request, service, path, route),
+    )
+
+
+def _nested_key(
+    parent: CallRequest,
+    request: Request,
+    service: ServiceName,
+    path: str,
+    route: Route,
+) -> str:
+    given = request.get(IDEMPOTENCY_FIELD)
+    needs_key = route.semantics is Semantics.AT_MOST_ONCE
+    if given is not None or not needs_key or not parent.idempotency_key:
+        return read_idempotency_key(request, route)
+    # A repeated parent repeats its nested calls; the derived key makes them one.
+    digest = hashlib.sha256()
+    for part in (parent.idempotency_key, service, request.method, path):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(request.body)
+    return "derived-" + digest.hexdigest()
+
+
+def _without_context(
+    request: Request, service: ServiceName, path: str, route: Route
+) -> CallRequest:
+    return CallRequest(
+        request_id=0,
+        service=service,
+        method=request.method,
+        path=path,
+        headers=forwarded_headers(request.fields),
+        body=request.body,
+        account=OPEN_ACCOUNT,
+        chain_id=new_chain_id(),
+        depth=1,
+        timeout_ms=round(read_timeout_s(request, route) * 1000),
+        criticality=route.criticality,
+        semantics=route.semantics,
+        retry_credits=0,
+        idempotency_key=read_idempotency_key(request, route),
+    )
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_peers.py
@@ -0,0 +1,146 @@
+"""Peer streams of this node: opening, accepting and keeping them alive."""
+
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+from loguru import logger
+
+from endivebeam_model import Address
+from endivebeam_wire import (
+    Answer,
+    FrameError,
+    Heartbeat,
+    HeartbeatEcho,
+    Hello,
+    PeerStream,
+    Reply,
+    Request,
+    StreamFullError,
+    StreamLostError,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+HEARTBEAT_PERIOD_S = 0.5
+SILENCE_LIMIT_S = 1.0
+MAX_STREAMS = 512
+MAX_ACCEPTED = 1024
+
+OnEcho = Callable[[Address, HeartbeatEcho], None]
+
+
+class UnreachableError(Exception):
+    """No stream to the peer could be opened, so nothing was sent."""
+
+
+class Peers:
+    """Streams to other nodes, one per address, opened on first use."""
+
+    def __init__(
+        self,
+        *,
+        tasks: anyio.abc.TaskGroup,
+        answer: Answer,
+        hello: Callable[[], Hello],
+        heartbeat: Callable[[int], Heartbeat],
+        on_echo: OnEcho,
+    ) -> None:
+        self._tasks = tasks
+        self._answer = answer
+        self._hello = hello
+        self._heartbeat = heartbeat
+        self._on_echo = on_echo
+        self._streams: dict[Address, PeerStream] = {}
+        self._opening: dict[Address, anyio.Lock] = {}
+        self._accepted = 0
+
+    async def accept(self, stream: anyio.abc.SocketStream) -> None:
+        """Serve a stream that another node opened."""
+        if self._accepted >= MAX_ACCEPTED:
+            logger.warning("peers: too many streams; refused one")
+            await anyio.aclose_forcefully(stream)
+            return
+        self._accepted += 1
+        peer = PeerStream(stream=stream, answer=self._answer, local=self._hello())
+        try:
+            await peer.handshake()
+            await peer.run()
+        except (FrameError, StreamLostError) as error:
+            logger.warning("peers: refused a stream: {}", error)
+            await peer.close()
+        finally:
+            self._accepted -= 1
+
+    async def connect(self, address: Address) -> PeerStream:
+        """Return the stream to a node, opening it when needed.
+
+        Raises ``UnreachableError``.
+        """
+        stream = self._streams.get(address)
+        if stream is not None and not stream.closed:
+            return stream
+        lock = self._opening.setdefault(address, anyio.Lock())
+        async with lock:
+            stream = self._streams.get(address)
+            if stream is not None and not stream.closed:
+                return stream
+            return await self._open(address)
+
+    async def ask(self, address: Address, request: Request) -> Reply:
+        """Send a request to a node and return its reply.
+
+        Raises ``UnreachableError`` when nothing was sent, else
+        ``StreamLostError`` or ``StreamFullError``.
+        """
+        stream = await self.connect(address)
+        return await stream.ask(request)
+
+    async def close(self) -> None:
+        """Close all streams that this node opened."""
+        for stream in list(self._streams.values()):
+            await stream.close()
+
+    async def _open(self, address: Address) -> PeerStream:
+        if len(self._streams) >= MAX_STREAMS:
+            raise UnreachableError("too many peer streams are open")
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                raw = await anyio.connect_tcp(address.host, address.port)
+        except (OSError, TimeoutError) as error:
+            raise UnreachableError(f"no connection to {address.host}") from error
+        stream = PeerStream(stream=raw, answer=self._answer, local=self._hello())
+        try:
+            await stream.handshake()
+        except (FrameError, StreamLostError) as error:
+            await stream.close()
+            raise UnreachableError(str(error)) from error
+        self._streams[address] = stream
+        self._tasks.start_soon(self._run, address, stream)
+        return stream
+
+    async def _run(self, address: Address, stream: PeerStream) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep_alive, address, stream)
+            await stream.run()
+            tasks.cancel_scope.cancel()
+        if self._streams.get(address) is stream:
+            del self._streams[address]
+
+    async def _keep_alive(self, address: Address, stream: PeerStream) -> None:
+        # A stream that went silent without FIN or RST is closed here, so that
+        # its requests fail and the next use opens a new connection.
+        while not stream.closed:
+            started = anyio.current_time()
+            with anyio.move_on_after(SILENCE_LIMIT_S) as scope:
+                try:
+                    reply = await stream.ask(self._heartbeat(stream.next_id()))
+                except (StreamLostError, StreamFullError):
+                    return
+                if isinstance(reply, HeartbeatEcho):
+                    self._on_echo(address, reply)
+            if scope.cancelled_caught and stream.last_received_at < started:
+                logger.warning("peers: stream to {} went silent", address.host)
+                await stream.close()
+                return
+            elapsed = anyio.current_time() - started
+            await anyio.sleep(max(0.0, HEARTBEAT_PERIOD_S - elapsed))
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_ports.py
@@ -0,0 +1,53 @@
+"""Interfaces between the call path and the policies that it consults."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
+
+from returns.result import Result
+
+from endivebeam_model import Contract, Member, NodeId, Refusal, ServiceName
+from endivebeam_wire import CallAnswer, CallRefused, CallRequest, LoadReport
+
+Outcome = CallAnswer | CallRefused
+
+TakeToken = Callable[[Contract], Awaitable[Refusal | None]]
+"""Takes one rate token of a client account; returns a refusal when there is none."""
+
+ChooseTarget = Callable[[ServiceName, frozenset[NodeId]], Member | None]
+"""Chooses a node whose target serves a service, without the excluded nodes."""
+
+Observe = Callable[[NodeId, "Observation"], None]
+"""Tells the routing policy how a call to a node ended."""
+
+Admit = Callable[[CallRequest], AbstractAsyncContextManager[Result[None, Refusal]]]
+"""Waits for a slot of the local target; the slot is released on exit."""
+
+ReportLoad = Callable[[], LoadReport]
+"""Returns the load of the local target."""
+
+Forward = Callable[[CallRequest], Awaitable[Outcome]]
+"""Sends a call to the local target and returns its outcome."""
+
+RunOnce = Callable[[CallRequest, Forward], Awaitable[Outcome]]
+"""Runs an at-most-once call, or returns the outcome of its first run."""
+
+
+class Observation:
+    """How a call to a node ended.
+
+    ``latency_s`` is None when no answer arrived. ``unreachable`` means that
+    no connection could be opened or that the stream was lost.
+    """
+
+    __slots__ = ("latency_s", "load", "unreachable")
+
+    def __init__(
+        self,
+        *,
+        latency_s: float | None = None,
+        load: LoadReport | None = None,
+        unreachable: bool = False,
+    ) -> None:
+        self.latency_s = latency_s
+        self.load = load
+        self.unreachable = unreachable
--- /dev/null
+++ b/packages/endivebeam-report/src/endivebeam_report/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level burn reports."""
--- /dev/null
+++ b/packages/endivebeam-routing/src/endivebeam_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Target table, health and target choice."""
--- /dev/null
+++ b/packages/endivebeam-standins/src/endivebeam_standins/__init__.py
@@ -0,0 +1,13 @@
+"""Stand-ins of the platform and of targets, for tests and the demo only."""
+
+from ._fleet import Fleet, FleetNode, run_fleet, wait_for
+from ._platform import PlatformState, build_platform_app
+
+__all__ = [
+    "Fleet",
+    "FleetNode",
+    "PlatformState",
+    "build_platform_app",
+    "run_fleet",
+    "wait_for",
+]
--- /dev/null
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_fleet.py
@@ -0,0 +1,227 @@
+"""Starts a small fleet as separate processes and stops it again."""
+
+import hashlib
+import os
+import secrets
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TypeVar
+
+import httpx
+import msgspec
+import yaml
+
+from ._ports import Port
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 40.0
+POLL_PERIOD_S = 0.02
+
+T = TypeVar("T")
+
+
+class NodePorts(msgspec.Struct, frozen=True, kw_only=True):
+    """Ports that a node reports."""
+
+    caller: int
+    local: int
+    peer: int
+    admin: int
+
+
+@dataclass(slots=True, kw_only=True)
+class FleetNode:
+    """A node process and the target process beside it."""
+
+    name: str
+    service: str
+    domain: str
+    node: subprocess.Popen[bytes]
+    target: subprocess.Popen[bytes]
+    ports: NodePorts
+    target_port: int
+
+    @property
+    def caller_url(self) -> str:
+        """Base URL of the caller port."""
+        return f"http://127.0.0.1:{self.ports.caller}"
+
+    @property
+    def admin_url(self) -> str:
+        """Base URL of the administration API."""
+        return f"http://127.0.0.1:{self.ports.admin}"
+
+    @property
+    def target_url(self) -> str:
+        """Base URL of the target, for inspection by tests."""
+        return f"http://127.0.0.1:{self.target_port}"
+
+
+def wait_for(condition: Callable[[], T | None], what: str) -> T:
+    """Return the first result of a condition that is neither None nor False.
+
+    Raises ``TimeoutError`` that names what was waited for.
+    """
+    limit = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < limit:
+        result = condition()
+        if result is not None and result is not False:
+            return result
+        time.sleep(POLL_PERIOD_S)
+    raise TimeoutError(f"{what} did not happen within {START_TIMEOUT_S} s")
+
+
+class Fleet:
+    """The platform stand-in, nodes and targets of one test or demo."""
+
+    def __init__(self, *, directory: Path, log_level: str = "INFO") -> None:
+        self.directory = directory
+        self.operator_token = secrets.token_hex(16)
+        self.nodes: list[FleetNode] = []
+        self._log_level = log_level
+        self._platform_port = 0
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self._started = 0
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the platform stand-in."""
+        return f"http://127.0.0.1:{self._platform_port}"
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in."""
+        path = self.directory / "platform.json"
+        self._spawn("platform", ["endivebeam_standins.platform", str(path)])
+        self._platform_port = self._read_port(path).port
+
+    def start_node(
+        self,
+        *,
+        service: str,
+        domain: str,
+        region: str = "scot-central",
+        slots: int = 50,
+        connections: int = 400,
+        service_time_ms: float = 0.0,
+    ) -> FleetNode:
+        """Start a node and the target beside it."""
+        self._started += 1
+        name = f"{service}-{self._started}"
+        ports_file = self.directory / f"{name}-node.json"
+        settings = self._write_settings(name, domain, region, ports_file)
+        node = self._spawn(f"{name}-node", ["endivebeam_node", str(settings)])
+        ports = msgspec.json.decode(self._read(ports_file), type=NodePorts)
+        target_file = self.directory / f"{name}-target.json"
+        arguments = [
+            "endivebeam_standins.target",
+            str(target_file),
+            f"--name={name}",
+            f"--service={service}",
+            f"--node-port={ports.local}",
+            f"--slots={slots}",
+            f"--connections={connections}",
+            f"--service-time-ms={service_time_ms}",
+        ]
+        target = self._spawn(f"{name}-target", arguments)
+        fleet_node = FleetNode(
+            name=name,
+            service=service,
+            domain=domain,
+            node=node,
+            target=target,
+            ports=ports,
+            target_port=self._read_port(target_file).port,
+        )
+        self.nodes.append(fleet_node)
+        return fleet_node
+
+    def set_faults(self, mode: str, delay_ms: int = 0) -> None:
+        """Make the platform misbehave."""
+        body = {"mode": mode, "delay_ms": delay_ms}
+        httpx.put(f"{self.platform_url}/v1/faults", json=body).raise_for_status()
+
+    def admin(self, node: FleetNode) -> httpx.Client:
+        """Return a client of a node's administration API."""
+        return httpx.Client(
+            base_url=node.admin_url,
+            headers={"authorization": f"Bearer {self.operator_token}"},
+            timeout=10.0,
+        )
+
+    def wait_for_members(self, service: str, count: int, node: FleetNode) -> None:
+        """Wait until a node knows a number of serving targets of a service."""
+        with self.admin(node) as client:
+
+            def known() -> bool:
+                members = client.get("/v1/status").json()["members"]
+                # Members are arrays: 6 is the service, 8 the state.
+                serving = [m for m in members if m[6] == service and m[8] == "serving"]
+                return len(serving) >= count
+
+            wait_for(known, f"{count} targets of {service} at {node.name}")
+
+    def stop(self) -> None:
+        """Stop every process, politely first."""
+        for process in reversed(self._processes):
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        limit = time.monotonic() + STOP_TIMEOUT_S
+        for process in self._processes:
+            try:
+                process.wait(max(0.1, limit - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def _write_settings(
+        self, name: str, domain: str, region: str, ports_file: Path
+    ) -> Path:
+        digest = hashlib.sha256(self.operator_token.encode()).hexdigest()
+        settings = {
+            "node_id": name,
+            "region": region,
+            "domain": domain,
+            "platform_url": self.platform_url,
+            "operators": [{"name": "demo", "token_sha256": digest}],
+            "ports_file": str(ports_file),
+            "log_level": self._log_level,
+        }
+        path = self.directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return path
+
+    def _spawn(self, name: str, arguments: list[str]) -> subprocess.Popen[bytes]:
+        log = (self.directory / f"{name}.log").open("ab")
+        with log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
+            )
+        self._processes.append(process)
+        return process
+
+    def _read_port(self, path: Path) -> Port:
+        return msgspec.json.decode(self._read(path), type=Port)
+
+    def _read(self, path: Path) -> bytes:
+        return wait_for(lambda: path.read_bytes() if path.exists() else None, path.name)
+
+
+@contextmanager
+def run_fleet(directory: Path, log_level: str = "INFO") -> Iterator[Fleet]:
+    """Yield a fleet with its platform and stop it at the end."""
+    fleet = Fleet(directory=directory, log_level=log_level)
+    try:
+        fleet.start_platform()
+        yield fleet
+    finally:
+        fleet.stop()
