Serve HTTP with one task per connection and uvloop

Cause: a call through the node beside its target added 0.77 ms (median, closed loop, GET) to a direct call of 0.31 ms. The profile showed two tasks per connection on both sides, an event and a cancel scope for each message, and asyncio re-registering the socket for each read.

Change: a server connection and a client connection run in one task each. Idle client connections are checked by polling their socket before reuse. The daemon runs on uvloop.

--- /dev/null
+++ b/benchmarks/latency.py
@@ -0,0 +1,244 @@
+"""Latency that the product adds to a call: direct calls beside calls through it.
+
+Starts the platform stand-in and two nodes with one target each as separate
+processes. Each repetition sends the same paced calls to the target itself, to
+the node beside it, and to the other node, one way after the other, so that
+all ways see the same load of the machine.
+
+    python -m benchmarks.latency --seed 1 --repetitions 5
+"""
+
+import random
+import secrets
+import statistics
+import tempfile
+import time
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Annotated
+
+import anyio
+import anyio.abc
+import typer
+
+from endivebeam_http import ClientPool, Field, Request
+from endivebeam_model import digest_key
+from endivebeam_standins import Fleet, FleetNode, run_fleet
+from endivebeam_standins.demo import Demo
+
+SERVICE = "catalogue"
+ACCOUNT = "northfit-rentals"
+GOAL_ADDED_P99_MS = 0.32
+POST_BYTES = 4096
+WARM_UP_CALLS = 200
+
+
+@dataclass(slots=True, kw_only=True)
+class Way:
+    """One way to reach the target: a port, a path prefix and header fields."""
+
+    name: str
+    port: int
+    prefix: str
+    fields: list[Field]
+
+
+@dataclass(slots=True, kw_only=True)
+class Sample:
+    """Latencies of one repetition over one way, in milliseconds."""
+
+    latencies_ms: list[float]
+
+    def quantile(self, fraction: float) -> float:
+        """Return a quantile of the latencies."""
+        ordered = sorted(self.latencies_ms)
+        return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
+
+
+def make_request(way: Way, body: bytes) -> Request:
+    """Return a GET, or a POST when there is a body."""
+    return Request(
+        method="POST" if body else "GET",
+        target=f"{way.prefix}/items?page=2",
+        fields=[Field(b"accept", b"*/*"), *way.fields],
+        body=body,
+    )
+
+
+async def send_paced(
+    way: Way, *, rate: float, calls: int, body: bytes, rng: random.Random
+) -> Sample:
+    """Send calls with exponential gaps and return their latencies.
+
+    A rate of 0 sends the next call as soon as the last one was answered.
+    """
+    latencies: list[float] = []
+
+    async def connect() -> anyio.abc.ByteStream:
+        return await anyio.connect_tcp("127.0.0.1", way.port)
+
+    async with anyio.create_task_group() as tasks:
+        pool = ClientPool(connect=connect, host="target")
+
+        async def call_once() -> None:
+            started = time.perf_counter()
+            response = await pool.request(make_request(way, body))
+            if response.status != 200:
+                raise RuntimeError(f"{way.name} answered {response.status}")
+            latencies.append((time.perf_counter() - started) * 1000)
+
+        for _ in range(WARM_UP_CALLS):
+            await call_once()
+        latencies.clear()
+        async with anyio.create_task_group() as sending:
+            due = time.perf_counter()
+            for _ in range(calls):
+                if not rate:
+                    await call_once()
+                    continue
+                due += rng.expovariate(rate)
+                await anyio.sleep(max(0.0, due - time.perf_counter()))
+                sending.start_soon(call_once)
+        await pool.close()
+        tasks.cancel_scope.cancel()
+    return Sample(latencies_ms=latencies)
+
+
+async def saturate(way: Way, *, seconds: float, connections: int) -> float:
+    """Return the calls per second of several connections without a pause."""
+    done = 0
+
+    async def connect() -> anyio.abc.ByteStream:
+        return await anyio.connect_tcp("127.0.0.1", way.port)
+
+    async with anyio.create_task_group() as tasks:
+        pool = ClientPool(connect=connect, host="target")
+
+        async def send() -> None:
+            nonlocal done
+            while True:
+                await pool.request(make_request(way, b""))
+                done += 1
+
+        with anyio.move_on_after(seconds):
+            async with anyio.create_task_group() as sending:
+                for _ in range(connections):
+                    sending.start_soon(send)
+        tasks.cancel_scope.cancel()
+    return done / seconds
+
+
+def start(fleet: Fleet) -> list[Way]:
+    """Start the fleet and return the ways to its first target."""
+    near = fleet.start_node(service=SERVICE, domain="domain-a", slots=400)
+    far = fleet.start_node(service="bookings", domain="domain-b")
+    for node in fleet.nodes:
+        fleet.wait_for_members(SERVICE, 1, node)
+    demo = Demo(fleet=fleet)
+    routes: list[dict[str, object]] = [{"path": "/", "method": "*"}]
+    demo.change(
+        {"type": "put_service", "service": {"service": SERVICE, "routes": routes}}
+    )
+    contract = {"account": ACCOUNT, "rate_per_s": 1e6, "burst": 1e6}
+    demo.change({"type": "put_contract", "contract": contract})
+    key = "eb_" + secrets.token_urlsafe(32)
+    issued = {"digest": digest_key(key), "account": ACCOUNT}
+    demo.change({"type": "issue_key", "key": issued})
+    fields = [Field(b"authorization", b"Bearer " + key.encode())]
+    return [
+        Way(name="direct", port=near.target_port, prefix="", fields=[]),
+        _through("node beside the target", near, fields),
+        _through("another node", far, fields),
+    ]
+
+
+def _through(name: str, node: FleetNode, fields: list[Field]) -> Way:
+    return Way(name=name, port=node.ports.caller, prefix=f"/{SERVICE}", fields=fields)
+
+
+def measure(
+    ways: list[Way], *, rate: float, calls: int, body: bytes, seed: int, rounds: int
+) -> dict[str, list[Sample]]:
+    """Return the samples of each way, one per repetition."""
+    samples: dict[str, list[Sample]] = {way.name: [] for way in ways}
+    for repetition in range(rounds):
+        for way in ways:
+            rng = random.Random(seed + repetition)
+            send = partial(send_paced, way, rate=rate, calls=calls, body=body, rng=rng)
+            sample = anyio.run(send)
+            samples[way.name].append(sample)
+    return samples
+
+
+def print_table(samples: dict[str, list[Sample]], label: str) -> None:
+    """Print the medians over repetitions and the worst added p99."""
+    direct = samples["direct"]
+    for name, repetitions in samples.items():
+        p50 = statistics.median(s.quantile(0.5) for s in repetitions)
+        p99 = statistics.median(s.quantile(0.99) for s in repetitions)
+        p999 = statistics.median(s.quantile(0.999) for s in repetitions)
+        added50 = _added(repetitions, direct, 0.5)
+        added99 = _added(repetitions, direct, 0.99)
+        print(
+            f"{label:>16}  {name:<24}{p50:7.3f}{p99:8.3f}{p999:8.3f}"
+            f"{statistics.median(added50):9.3f}{statistics.median(added99):9.3f}"
+            f"{max(added99):9.3f}"
+        )
+
+
+def _added(through: list[Sample], direct: list[Sample], fraction: float) -> list[float]:
+    pairs = zip(through, direct, strict=True)
+    return [t.quantile(fraction) - d.quantile(fraction) for t, d in pairs]
+
+
+def main(
+    seed: Annotated[int, typer.Option()] = 1,
+    repetitions: Annotated[int, typer.Option()] = 5,
+    calls: Annotated[int, typer.Option(help="Calls per way and repetition.")] = 1000,
+    rates: Annotated[str, typer.Option(help="Calls/s, comma separated.")] = "50,170",
+    saturation: Annotated[bool, typer.Option()] = True,
+) -> None:
+    """Print the added latency per way, rate and request."""
+    print(f"seed {seed}, {repetitions} repetitions of {calls} calls, ms")
+    print(
+        f"{'rate, request':>16}  {'way':<24}{'p50':>7}{'p99':>8}{'p99.9':>8}"
+        f"{'+p50':>9}{'+p99':>9}{'worst+p99':>10}"
+    )
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        run_fleet(Path(directory), log_level="WARNING") as fleet,
+    ):
+        ways = start(fleet)
+        for rate in (float(text) for text in rates.split(",")):
+            for request, body in (("GET", b""), ("POST 4K", b"x" * POST_BYTES)):
+                samples = measure(
+                    ways,
+                    rate=rate,
+                    calls=calls,
+                    body=body,
+                    seed=seed,
+                    rounds=repetitions,
+                )
+                print_table(samples, f"{rate:g}/s {request}")
+        print(f"goal: +p99 at most {GOAL_ADDED_P99_MS} ms at 170/s")
+        if saturation:
+            _print_saturation(ways)
+        _print_cost(fleet.nodes)
+
+
+def _print_saturation(ways: list[Way]) -> None:
+    for way in ways:
+        per_s = anyio.run(partial(saturate, way, seconds=3.0, connections=8))
+        print(f"saturation, 8 connections: {way.name:<24}{per_s:8.0f} calls/s")
+
+
+def _print_cost(nodes: list[FleetNode]) -> None:
+    for node in nodes:
+        status = Path(f"/proc/{node.node.pid}/status").read_text()
+        resident = next(x for x in status.splitlines() if x.startswith("VmRSS"))
+        print(f"memory of node {node.name}: {resident.split()[1]} kB")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/conftest.py
+++ b/conftest.py
@@ -2,6 +2,7 @@
 
 import os
 
+import pytest
 from hypothesis import HealthCheck, settings
 
 settings.register_profile(
@@ -19,3 +20,9 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run asynchronous tests on the event loop that the daemon uses."""
+    return "asyncio"
--- a/packages/endivebeam-http/src/endivebeam_http/__init__.py
+++ b/packages/endivebeam-http/src/endivebeam_http/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from ._client import ClientPool, NotSentError, encode_request
+from ._listeners import HttpServer, SocketListener
 from ._messages import (
     HOP_BY_HOP,
     MAX_BODY_BYTES,
@@ -26,10 +27,12 @@
     "Field",
     "Handler",
     "HttpError",
+    "HttpServer",
     "NotSentError",
     "Request",
     "Response",
     "ServerConnection",
+    "SocketListener",
     "encode_request",
     "encode_response",
     "get_field",
--- a/packages/endivebeam-http/src/endivebeam_http/_client.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_client.py
@@ -1,5 +1,6 @@
 """Client side: pooled connections to one server."""
 
+import select
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -8,7 +9,6 @@
 from ._messages import (
     MAX_BODY_BYTES,
     ConnectionLostError,
-    HttpError,
     Request,
     Response,
 )
@@ -47,30 +47,18 @@
     def __init__(self, *, stream: anyio.abc.ByteStream, max_body_bytes: int) -> None:
         self._stream = stream
         self._parser = ResponseParser(max_body_bytes=max_body_bytes)
-        self._event = anyio.Event()
-        self._response: Response | None = None
-        self._busy = False
-        self._error: Exception | None = None
+        self._poll = select.poll()
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
+        if raw is not None:
+            self._poll.register(raw.fileno(), select.POLLIN | select.POLLRDHUP)
         self.closed = False
 
-    async def read(self) -> None:
-        """Read until the server closes, so that a stale connection is noticed."""
-        try:
-            while not self.closed:
-                data = await self._stream.receive(RECEIVE_BYTES)
-                if not self._busy:
-                    break
-                response = self._parser.feed(data)
-                if response is not None:
-                    self._response = response
-                    self._event.set()
-        except (anyio.EndOfStream, anyio.ClosedResourceError, OSError):
-            pass
-        except anyio.BrokenResourceError:
-            pass
-        except HttpError as error:
-            self._error = error
-        await self.close()
+    def is_stale(self) -> bool:
+        """Return whether the server closed or wrote while the connection was idle.
+
+        Nothing reads an idle connection, so its socket is asked directly.
+        """
+        return self.closed or bool(self._poll.poll(0))
 
     async def exchange(self, data: bytes, *, head_only: bool) -> Response:
         """Send a request and return its response.
@@ -78,25 +66,17 @@
         Raises ``ConnectionLostError`` or ``HttpError``. A cancelled exchange
         closes the connection, which tells the server to cancel its work.
         """
-        self._busy = True
-        self._event = anyio.Event()
         self._parser.head_only = head_only
         try:
             await self._stream.send(data)
-            await self._event.wait()
+            response = await self._receive_response()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
-            self.closed = True
-            raise ConnectionLostError("connection broke while sending") from error
-        except anyio.get_cancelled_exc_class():
+            await self.close()
+            raise ConnectionLostError("the connection broke") from error
+        except BaseException:
             with anyio.CancelScope(shield=True):
                 await self.close()
             raise
-        finally:
-            self._busy = False
-        response = self._response
-        self._response = None
-        if response is None:
-            raise self._error or ConnectionLostError("server closed the connection")
         if not response.keep_alive:
             await self.close()
         return response
@@ -104,26 +84,30 @@
     async def close(self) -> None:
         """Close the connection at once."""
         self.closed = True
-        self._event.set()
         await anyio.aclose_forcefully(self._stream)
 
+    async def _receive_response(self) -> Response:
+        while True:
+            try:
+                data = await self._stream.receive(RECEIVE_BYTES)
+            except anyio.EndOfStream:
+                raise ConnectionLostError("the server closed the connection") from None
+            response = self._parser.feed(data)
+            if response is not None:
+                return response
 
-class ClientPool:
-    """Keeps connections to one server and reuses them.
 
-    ``tasks`` owns one reading task per connection.
-    """
+class ClientPool:
+    """Keeps connections to one server and reuses them."""
 
     def __init__(
         self,
         *,
         connect: Connect,
-        tasks: anyio.abc.TaskGroup,
         host: str,
         max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self._connect = connect
-        self._tasks = tasks
         self._host = host.encode()
         self._max_body_bytes = max_body_bytes
         self._idle: list[_Connection] = []
@@ -134,7 +118,7 @@
         Raises ``NotSentError`` when no connection could be opened, else
         ``ConnectionLostError`` or ``HttpError`` with the outcome unknown.
         """
-        connection = self._take_idle() or await self._open()
+        connection = await self._take_idle() or await self._open()
         data = encode_request(request, host=self._host)
         response = await connection.exchange(data, head_only=request.method == "HEAD")
         if not connection.closed and len(self._idle) < MAX_IDLE:
@@ -148,11 +132,12 @@
         while self._idle:
             await self._idle.pop().close()
 
-    def _take_idle(self) -> _Connection | None:
+    async def _take_idle(self) -> _Connection | None:
         while self._idle:
             connection = self._idle.pop()
-            if not connection.closed:
+            if not connection.is_stale():
                 return connection
+            await connection.close()
         return None
 
     async def _open(self) -> _Connection:
@@ -161,6 +146,4 @@
                 stream = await self._connect()
         except (OSError, TimeoutError) as error:
             raise NotSentError("no connection to the server") from error
-        connection = _Connection(stream=stream, max_body_bytes=self._max_body_bytes)
-        self._tasks.start_soon(connection.read)
-        return connection
+        return _Connection(stream=stream, max_body_bytes=self._max_body_bytes)
--- /dev/null
+++ b/packages/endivebeam-http/src/endivebeam_http/_listeners.py
@@ -0,0 +1,71 @@
+"""Server of one listening port: its connections, their sweep and drain."""
+
+import time
+
+import anyio
+import anyio.abc
+
+from ._messages import MAX_BODY_BYTES
+from ._server import ErrorResponse, Handler, ServerConnection
+
+SWEEP_PERIOD_S = 0.1
+MAX_CONNECTIONS = 2048
+
+SocketListener = anyio.abc.Listener[anyio.abc.SocketStream]
+
+
+class HttpServer:
+    """Serves HTTP/1.1 on listeners; connections above the bound are closed."""
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        error_response: ErrorResponse,
+        max_connections: int = MAX_CONNECTIONS,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
+        self._handler = handler
+        self._error_response = error_response
+        self._max_connections = max_connections
+        self._max_body_bytes = max_body_bytes
+        self._connections: set[ServerConnection] = set()
+
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    async def serve(self, listener: anyio.abc.Listener[anyio.abc.ByteStream]) -> None:
+        """Serve until cancelled; the listener is closed then."""
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._sweep, tasks)
+            await listener.serve(self._serve_stream)
+
+    def drain(self) -> None:
+        """Close idle connections now and the others after their request."""
+        for connection in list(self._connections):
+            connection.drain()
+
+    async def _serve_stream(self, stream: anyio.abc.ByteStream) -> None:
+        if len(self._connections) >= self._max_connections:
+            await anyio.aclose_forcefully(stream)
+            return
+        connection = ServerConnection(
+            stream=stream,
+            handler=self._handler,
+            error_response=self._error_response,
+            max_body_bytes=self._max_body_bytes,
+        )
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
+    async def _sweep(self, tasks: anyio.abc.TaskGroup) -> None:
+        while True:
+            await anyio.sleep(SWEEP_PERIOD_S)
+            now = time.monotonic()
+            for connection in list(self._connections):
+                connection.sweep(now, tasks)
--- a/packages/endivebeam-http/src/endivebeam_http/_server.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_server.py
@@ -1,7 +1,9 @@
 """Server side of one HTTP/1.1 connection."""
 
+import time
 from collections import deque
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from http import HTTPStatus
 
 import anyio
@@ -21,6 +23,9 @@
 REQUEST_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 120.0
 SEND_TIMEOUT_S = 30.0
+CLOSE_TIMEOUT_S = 1.0
+# A caller that leaves within this time is noticed when its answer is sent.
+WATCH_AFTER_S = 0.1
 BODILESS_STATUS = frozenset({204, 304})
 
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -30,6 +35,22 @@
 ErrorResponse = Callable[[HttpError], Response]
 
 
+class Phase(Enum):
+    """What a connection is doing."""
+
+    IDLE = "idle"
+    RECEIVING = "receiving"
+    HANDLING = "handling"
+    SENDING = "sending"
+
+
+_PHASE_LIMITS_S = {
+    Phase.IDLE: IDLE_TIMEOUT_S,
+    Phase.RECEIVING: REQUEST_TIMEOUT_S,
+    Phase.SENDING: SEND_TIMEOUT_S,
+}
+
+
 def encode_response(response: Response, *, method: str, keep_alive: bool) -> bytes:
     """Return the bytes of a response with its framing fields.
 
@@ -57,8 +78,10 @@
 class ServerConnection:
     """Serves requests of one connection in order, one at a time.
 
-    When the client closes the connection, the request that is being handled
-    is cancelled. ``drain`` closes the connection after the current request.
+    One task receives, handles and sends. No task reads while a request is
+    handled, which keeps fast calls cheap; the owner calls ``sweep`` to start a
+    watching read for slow ones, so that a caller that leaves is noticed, and
+    to enforce the time limits of each phase.
     """
 
     def __init__(
@@ -74,34 +97,49 @@
         self._error_response = error_response
         self._parser = RequestParser(max_body_bytes=max_body_bytes)
         self._requests: deque[Request] = deque()
-        self._arrived = anyio.Event()
-        self._room = anyio.Event()
-        self._ended = False
-        self._error: HttpError | None = None
-        self._scope: anyio.CancelScope | None = None
+        self._scope = anyio.CancelScope()
+        self._phase = Phase.IDLE
+        self._since = time.monotonic()
+        self._timed_out = False
         self._draining = False
-        self._idle_scope: anyio.CancelScope | None = None
+        self._watched: anyio.Event | None = None
+        self._early = b""
 
     async def run(self) -> None:
         """Serve until either side closes the connection."""
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._read)
+            with self._scope:
                 await self._serve()
-                tasks.cancel_scope.cancel()
+            if self._timed_out:
+                await self._report_timeout()
         finally:
-            with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+            with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_TIMEOUT_S):
                 await self._stream.aclose()
 
     def drain(self) -> None:
         """Close the connection as soon as no request is in progress."""
         self._draining = True
-        if self._idle_scope is not None and not self._parser.started:
-            self._idle_scope.cancel()
+        if self._phase is Phase.IDLE:
+            self._scope.cancel()
+
+    def sweep(self, now: float, tasks: anyio.abc.TaskGroup) -> None:
+        """Enforce time limits; watch for a caller that leaves a slow request."""
+        age_s = now - self._since
+        if self._phase is Phase.HANDLING:
+            if age_s >= WATCH_AFTER_S and self._watched is None:
+                self._watched = anyio.Event()
+                tasks.start_soon(self._watch, self._watched)
+        elif age_s >= _PHASE_LIMITS_S[self._phase]:
+            self._timed_out = self._phase is Phase.RECEIVING
+            self._scope.cancel()
 
     async def _serve(self) -> None:
         while True:
-            request = await self._next_request()
+            try:
+                request = await self._next_request()
+            except HttpError as error:
+                await self._send_error(error)
+                return
             if request is None:
                 return
             keep_alive = await self._respond(request)
@@ -110,87 +148,78 @@
 
     async def _next_request(self) -> Request | None:
         while not self._requests:
-            if self._error is not None:
-                await self._send_error(self._error)
-                return None
-            if self._ended or (self._draining and not self._parser.started):
+            if not self._parser.started:
+                if self._draining:
+                    return None
+                self._enter(Phase.IDLE)
+            data = await self._receive()
+            if not data:
                 return None
-            self._arrived = anyio.Event()
-            with anyio.move_on_after(self._wait_limit()) as scope:
-                self._idle_scope = scope
-                await self._arrived.wait()
-            self._idle_scope = None
-            if scope.cancelled_caught:
-                await self._report_timeout()
-                return None
-        self._room.set()
+            if self._phase is Phase.IDLE:
+                self._enter(Phase.RECEIVING)
+            self._requests.extend(self._parser.feed(data))
+            if len(self._requests) > MAX_PIPELINED:
+                raise HttpError(HTTPStatus.BAD_REQUEST, "too many pipelined requests")
+            if self._parser.expects_continue:
+                self._parser.expects_continue = False
+                await self._send(_CONTINUE)
         return self._requests.popleft()
 
-    def _wait_limit(self) -> float:
-        return REQUEST_TIMEOUT_S if self._parser.started else IDLE_TIMEOUT_S
-
-    async def _report_timeout(self) -> None:
-        if self._parser.started:
-            await self._send_error(
-                HttpError(HTTPStatus.REQUEST_TIMEOUT, "request was not sent in time")
-            )
-
     async def _respond(self, request: Request) -> bool:
-        response: Response | None = None
-        with anyio.CancelScope() as scope:
-            self._scope = scope
-            response = await self._handler(request)
-        self._scope = None
-        if response is None:
-            return False
+        self._enter(Phase.HANDLING)
+        response = await self._handler(request)
+        self._enter(Phase.SENDING)
         keep_alive = request.keep_alive and response.keep_alive and not self._draining
         data = encode_response(response, method=request.method, keep_alive=keep_alive)
         return await self._send(data) and keep_alive
 
-    async def _read(self) -> None:
-        while True:
-            try:
-                data = await self._stream.receive(RECEIVE_BYTES)
-            except (anyio.EndOfStream, anyio.ClosedResourceError, OSError):
-                break
-            except anyio.BrokenResourceError:
-                break
-            if not await self._feed(data):
-                return
-        self._ended = True
-        self._arrived.set()
-        if self._scope is not None:
-            self._scope.cancel()
-
-    async def _feed(self, data: bytes) -> bool:
+    async def _watch(self, done: anyio.Event) -> None:
+        # Reads while the handler runs. An end of the stream cancels the handler;
+        # bytes of a pipelined request are kept for the next receive.
         try:
-            requests = self._parser.feed(data)
-        except HttpError as error:
-            self._error = error
-            self._arrived.set()
-            return False
-        if requests:
-            self._requests.extend(requests)
-            self._arrived.set()
-        if self._parser.expects_continue:
-            self._parser.expects_continue = False
-            await self._send(_CONTINUE)
-        while len(self._requests) > MAX_PIPELINED:
-            self._room = anyio.Event()
-            await self._room.wait()
-        return True
+            self._early = await self._receive_bytes()
+            if not self._early:
+                self._scope.cancel()
+        finally:
+            done.set()
+
+    async def _receive(self) -> bytes:
+        if self._watched is None:
+            return await self._receive_bytes()
+        # Only one task may read, so the watching read is awaited instead.
+        await self._watched.wait()
+        self._watched = None
+        data = self._early
+        self._early = b""
+        return data
+
+    async def _receive_bytes(self) -> bytes:
+        try:
+            return await self._stream.receive(RECEIVE_BYTES)
+        except (anyio.EndOfStream, anyio.ClosedResourceError, OSError):
+            return b""
+        except anyio.BrokenResourceError:
+            return b""
+
+    def _enter(self, phase: Phase) -> None:
+        self._phase = phase
+        self._since = time.monotonic()
+
+    async def _report_timeout(self) -> None:
+        with anyio.move_on_after(CLOSE_TIMEOUT_S):
+            await self._send_error(
+                HttpError(HTTPStatus.REQUEST_TIMEOUT, "request was not sent in time")
+            )
 
     async def _send_error(self, error: HttpError) -> None:
+        self._enter(Phase.SENDING)
         response = self._error_response(error)
         await self._send(encode_response(response, method="GET", keep_alive=False))
 
     async def _send(self, data: bytes) -> bool:
         try:
-            with anyio.fail_after(SEND_TIMEOUT_S):
-                await self._stream.send(data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            return False
-        except (OSError, TimeoutError):
+            await self._stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             return False
         return True
 
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -18,7 +18,7 @@
 from loguru import logger
 from returns.result import Result, Success
 
-from endivebeam_http import Handler, ServerConnection
+from endivebeam_http import HttpServer, SocketListener
 from endivebeam_model import (
     Address,
     Contract,
@@ -63,11 +63,8 @@
 from ._sync import Synchronizer
 from ._targets import Announcement, LocalTarget
 
-MAX_CALLER_CONNECTIONS = 2048
 PORTS_CHECK_PERIOD_S = 0.05
 
-SocketListener = anyio.abc.Listener[anyio.abc.SocketStream]
-
 
 class Ports(msgspec.Struct, frozen=True, kw_only=True):
     """Ports that the node listens on."""
@@ -108,7 +105,6 @@
             rng=self._rng,
         )
         self.forwarder = TargetForwarder(
-            tasks=tasks,
             target=self.target,
             in_flight=self.in_flight,
             report_load=self._report_load,
@@ -132,7 +128,12 @@
             in_flight=self.in_flight,
             on_announcement=self._on_announcement,
         )
-        self._connections: set[ServerConnection] = set()
+        self._caller_server = HttpServer(
+            handler=self.callers.handle, error_response=error_response
+        )
+        self._local_server = HttpServer(
+            handler=self.local.handle, error_response=error_response
+        )
 
     async def run(self) -> None:
         """Listen, serve until a stop is asked for, then drain."""
@@ -143,8 +144,8 @@
             peer = await _listen(settings.host, settings.peer_port)
             admin = socket.create_server((settings.host, settings.admin_port))
             self.members.set_address(Address(settings.host, _port_of(peer)))
-            servers.start_soon(caller.serve, self._serve_caller)
-            servers.start_soon(local.serve, self._serve_local)
+            servers.start_soon(self._caller_server.serve, caller)
+            servers.start_soon(self._local_server.serve, local)
             servers.start_soon(peer.serve, self.peers.accept)
             servers.start_soon(self._serve_admin, admin)
             servers.start_soon(self.sync.run)
@@ -166,39 +167,15 @@
         logger.info("node: draining")
         self.calls.draining = True
         self.members.update_local(state=MemberState.DRAINING)
-        for connection in list(self._connections):
-            connection.drain()
+        self._caller_server.drain()
         with anyio.move_on_after(self.settings.drain_timeout_s):
             # Other nodes need time to learn of the drain before streams close.
             await anyio.sleep(1.0)
-            while self._connections or len(self.in_flight):
+            while self._caller_server.open_connections or len(self.in_flight):
                 await anyio.sleep(PORTS_CHECK_PERIOD_S)
         self.members.update_local(state=MemberState.LEFT)
         logger.info("node: drained")
 
-    async def _serve_caller(self, stream: anyio.abc.SocketStream) -> None:
-        await self._serve_http(stream, self.callers.handle)
-
-    async def _serve_local(self, stream: anyio.abc.SocketStream) -> None:
-        await self._serve_http(stream, self.local.handle)
-
-    async def _serve_http(
-        self,
-        stream: anyio.abc.SocketStream,
-        handler: Handler,
-    ) -> None:
-        if len(self._connections) >= MAX_CALLER_CONNECTIONS:
-            await anyio.aclose_forcefully(stream)
-            return
-        connection = ServerConnection(
-            stream=stream, handler=handler, error_response=error_response
-        )
-        self._connections.add(connection)
-        try:
-            await connection.run()
-        finally:
-            self._connections.discard(connection)
-
     async def _serve_admin(self, listener: socket.socket) -> None:
         app = build_admin_app(
             operators=self.settings.operators,
--- a/packages/endivebeam-node/src/endivebeam_node/_forward.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_forward.py
@@ -34,12 +34,10 @@
     def __init__(
         self,
         *,
-        tasks: anyio.abc.TaskGroup,
         target: LocalTarget,
         in_flight: InFlight,
         report_load: ReportLoad,
     ) -> None:
-        self._tasks = tasks
         self._target = target
         self._in_flight = in_flight
         self._report_load = report_load
@@ -110,9 +108,7 @@
                 return await anyio.connect_tcp("127.0.0.1", port)
 
             self._pool_port = port
-            self._pool = ClientPool(
-                connect=connect, tasks=self._tasks, host=f"127.0.0.1:{port}"
-            )
+            self._pool = ClientPool(connect=connect, host=f"127.0.0.1:{port}")
         return self._pool
 
 
--- a/packages/endivebeam-node/src/endivebeam_node/_main.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_main.py
@@ -4,12 +4,12 @@
 from pathlib import Path
 from typing import Annotated
 
-import anyio
 import typer
 from loguru import logger
 from pydantic import ValidationError
 
 from ._daemon import run_daemon
+from ._loop import run_loop
 from ._settings import load_settings
 
 app = typer.Typer(add_completion=False)
@@ -33,7 +33,7 @@
         return
     logger.remove()
     logger.add(sys.stderr, level=loaded.log_level)
-    anyio.run(run_daemon, loaded)
+    run_loop(run_daemon, loaded)
 
 
 def main() -> None:
--- a/packages/endivebeam-standins/src/endivebeam_standins/target.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/target.py
@@ -22,9 +22,9 @@
 
 from endivebeam_http import (
     Field,
+    HttpServer,
     Request,
     Response,
-    ServerConnection,
     plain_error_response,
 )
 
@@ -163,15 +163,8 @@
         listener = listeners.listeners[0]
         port = int(listener.extra(anyio.abc.SocketAttribute.local_address)[1])
 
-        async def serve(stream: anyio.abc.SocketStream) -> None:
-            connection = ServerConnection(
-                stream=stream,
-                handler=target.handle,
-                error_response=plain_error_response,
-            )
-            await connection.run()
-
-        tasks.start_soon(listener.serve, serve)
+        server = HttpServer(handler=target.handle, error_response=plain_error_response)
+        tasks.start_soon(server.serve, listener)
         tasks.start_soon(target.announce_forever, port)
         write_port(ports_file, port)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
