Admit calls at the target's node and bound retries over a chain

Cause: every call went to the target at once, and a target's own retries, a trace id shared by two calls and a move after a lossy refusal could each make a chain spend more than its retry credits.

Change: adaptive concurrency limit, queue by class with deficit round robin between accounts, expected-wait check, retry budget per service; all pure in endivebeam_limits and wired in the node. A repeated nested call that failed costs a credit; ambiguous trace ids lend none; a refusal after an attempt that may have run never says not-run; nested calls of a cancelled call stop.

--- /dev/null
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_admission.py
@@ -0,0 +1,113 @@
+"""Admission of calls to one target: concurrency limit and queue together."""
+
+from dataclasses import dataclass, field
+
+from ._concurrency import ConcurrencyLimit
+from ._fair_queue import FairQueue
+from ._tickets import Ticket, TicketState
+
+QUEUE_PER_SLOT = 2
+MIN_QUEUE = 16
+MAX_QUEUE = 1024
+# Part of the usual service time that must be left when a call is started.
+LEAST_TIME_FRACTION = 0.5
+
+
+@dataclass(slots=True)
+class Changes:
+    """Tickets that an operation started or refused, to be told to their calls."""
+
+    started: list[Ticket] = field(default_factory=list)
+    refused: list[Ticket] = field(default_factory=list)
+
+
+class Admission:
+    """Decides which calls hold the slots of a target and which wait.
+
+    Every ticket that arrives must be released once; releasing it again has no
+    effect. Times are monotonic seconds.
+    """
+
+    def __init__(self) -> None:
+        self.limit = ConcurrencyLimit()
+        self.queue = FairQueue()
+        self.in_use = 0
+
+    @property
+    def queue_bound(self) -> int:
+        """Most calls that may wait."""
+        return min(MAX_QUEUE, max(MIN_QUEUE, QUEUE_PER_SLOT * self.limit.slots))
+
+    def start_cold(self, slots: int, now: float) -> Changes:
+        """Begin with a new target; calls that still run keep their slots."""
+        self.limit.start_cold(slots, now)
+        return self._fill(now, Changes())
+
+    def resize(self, slots: int, now: float) -> Changes:
+        """Follow a change of the announced slots."""
+        self.limit.resize(slots)
+        return self._fill(now, Changes())
+
+    def arrive(self, ticket: Ticket, now: float) -> Changes:
+        """Start, queue or refuse a call; a queued one is in no list."""
+        changes = Changes()
+        if self.in_use < self.limit.limit and not len(self.queue):
+            self._start(ticket, now, changes)
+            return changes
+        if self.expected_wait_s(ticket) + self._least_time_s() > ticket.deadline - now:
+            _refuse(ticket, changes)
+            return changes
+        if len(self.queue) >= self.queue_bound:
+            victim = self.queue.make_room(ticket)
+            if victim is not ticket:
+                self.queue.remove(victim)
+            _refuse(victim, changes)
+            if victim is ticket:
+                return changes
+        ticket.state = TicketState.QUEUED
+        self.queue.push(ticket)
+        return self._fill(now, changes)
+
+    def release(self, ticket: Ticket, now: float) -> Changes:
+        """Give up a slot or a place in the queue."""
+        state, ticket.state = ticket.state, TicketState.RELEASED
+        if state is TicketState.QUEUED:
+            self.queue.remove(ticket)
+        if state is not TicketState.RUNNING:
+            return Changes()
+        self.in_use -= 1
+        return self._fill(now, Changes())
+
+    def expected_wait_s(self, ticket: Ticket) -> float:
+        """Estimate how long an arriving call would wait; 0 when unknown."""
+        latency_s = self.limit.latency_s
+        if latency_s is None:
+            return 0.0
+        ahead = self.queue.count_ahead(ticket)
+        return (ahead + 1.0) * latency_s / self.limit.limit
+
+    def _least_time_s(self) -> float:
+        return LEAST_TIME_FRACTION * (self.limit.baseline_s or 0.0)
+
+    def _start(self, ticket: Ticket, now: float, changes: Changes) -> None:
+        ticket.state = TicketState.RUNNING
+        ticket.started = now
+        self.in_use += 1
+        self.limit.note_use(self.in_use)
+        changes.started.append(ticket)
+
+    def _fill(self, now: float, changes: Changes) -> Changes:
+        while self.in_use < self.limit.limit:
+            ticket = self.queue.pop()
+            if ticket is None:
+                break
+            if now + self._least_time_s() > ticket.deadline:
+                _refuse(ticket, changes)
+            else:
+                self._start(ticket, now, changes)
+        return changes
+
+
+def _refuse(ticket: Ticket, changes: Changes) -> None:
+    ticket.state = TicketState.REFUSED
+    changes.refused.append(ticket)
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_admission.py
@@ -0,0 +1,164 @@
+"""Admission of calls to the target beside this node.
+
+Runs the decisions of ``endivebeam_limits.Admission`` for waiting tasks. Only
+this node sends calls to its target, so the bound on the target's slots and
+connections holds for the whole fleet.
+"""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+import anyio.abc
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from endivebeam_limits import Admission, Changes, Ticket, TicketState
+from endivebeam_model import Refusal, RefusalReason
+from endivebeam_wire import CallRefused, CallRequest, LoadReport
+
+from ._config import ConfigCopy
+from ._outcomes import RETRY_AFTER_S
+from ._ports import Forward, Outcome
+from ._targets import Announcement, LocalTarget
+
+# A target needs a moment to notice that the connection of a cancelled call was
+# closed; a call started sooner would exceed its slots.
+CANCEL_GRACE_S = 0.05
+
+
+class LocalAdmission:
+    """Slots of the local target and the calls that wait for them.
+
+    ``admit`` and ``report`` are the ports ``Admit`` and ``ReportLoad``.
+    """
+
+    def __init__(
+        self,
+        *,
+        tasks: anyio.abc.TaskGroup,
+        target: LocalTarget,
+        config: ConfigCopy,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self._tasks = tasks
+        self._target = target
+        self._config = config
+        self._clock = clock
+        self._admission = Admission()
+        self._settled: dict[Ticket, anyio.Event] = {}
+        self._generation = 0
+        self._slots = 0
+
+    @asynccontextmanager
+    async def admit(self, call: CallRequest) -> AsyncIterator[Result[None, Refusal]]:
+        """Wait for a slot; it is released on exit, whatever the reason."""
+        now = self._clock()
+        announcement = self._target.current(now)
+        if announcement is None or announcement.service != call.service:
+            yield Failure(_no_target(call))
+            return
+        self._follow(announcement, now)
+        ticket = self._issue_ticket(call, now)
+        cancelled = False
+        try:
+            await self._settle(ticket, now)
+            if ticket.state is TicketState.REFUSED:
+                yield Failure(self._overloaded(ticket))
+            else:
+                yield Success(None)
+        except anyio.get_cancelled_exc_class():
+            cancelled = True
+            raise
+        finally:
+            self._leave(ticket, cancelled)
+
+    def watch(self, forward: Forward) -> Forward:
+        """Return a forward function that also measures the target."""
+
+        async def measured(call: CallRequest) -> Outcome:
+            limit = self._admission.limit
+            started = self._clock()
+            try:
+                outcome = await forward(call)
+            except anyio.get_cancelled_exc_class():
+                limit.observe_abandoned(started, self._clock())
+                raise
+            if not isinstance(outcome, CallRefused):
+                limit.observe(started, self._clock())
+            elif outcome.refusal.reason is RefusalReason.OVERLOADED:
+                limit.observe_shed(self._admission.in_use, self._clock())
+            return outcome
+
+        return measured
+
+    def report(self) -> LoadReport:
+        """Return the calls that hold or wait for slots, and the limit."""
+        in_use = self._admission.in_use + len(self._admission.queue)
+        return LoadReport(in_use=in_use, limit=self._admission.limit.limit)
+
+    def _follow(self, announcement: Announcement, now: float) -> None:
+        slots = min(announcement.slots, announcement.connections)
+        if self._target.generation != self._generation:
+            self._generation = self._target.generation
+            self._slots = slots
+            logger.info("calls: cold start of the target with {} slots", slots)
+            self._tell(self._admission.start_cold(slots, now))
+        elif slots != self._slots:
+            self._slots = slots
+            self._tell(self._admission.resize(slots, now))
+
+    def _issue_ticket(self, call: CallRequest, now: float) -> Ticket:
+        contract = self._config.snapshot.contracts.get(call.account)
+        return Ticket(
+            account=call.account,
+            weight=0.0 if contract is None else contract.rate_per_s,
+            criticality=call.criticality,
+            depth=call.depth,
+            deadline=now + call.timeout_ms / 1000,
+        )
+
+    async def _settle(self, ticket: Ticket, now: float) -> None:
+        self._tell(self._admission.arrive(ticket, now))
+        if ticket.state is TicketState.QUEUED:
+            settled = self._settled[ticket] = anyio.Event()
+            await settled.wait()
+
+    def _tell(self, changes: Changes) -> None:
+        for ticket in (*changes.started, *changes.refused):
+            settled = self._settled.pop(ticket, None)
+            if settled is not None:
+                settled.set()
+
+    def _leave(self, ticket: Ticket, cancelled: bool) -> None:
+        self._settled.pop(ticket, None)
+        if cancelled and ticket.state is TicketState.RUNNING:
+            self._tasks.start_soon(self._release_after_grace, ticket)
+        else:
+            self._release(ticket)
+
+    async def _release_after_grace(self, ticket: Ticket) -> None:
+        try:
+            await anyio.sleep(CANCEL_GRACE_S)
+        finally:
+            self._release(ticket)
+
+    def _release(self, ticket: Ticket) -> None:
+        self._tell(self._admission.release(ticket, self._clock()))
+
+    def _overloaded(self, ticket: Ticket) -> Refusal:
+        wait_s = self._admission.expected_wait_s(ticket)
+        return Refusal(
+            reason=RefusalReason.OVERLOADED,
+            message="the target has no free slot and the call cannot wait for one; "
+            "send it again after the given time",
+            retry_after_s=max(RETRY_AFTER_S, wait_s),
+        )
+
+
+def _no_target(call: CallRequest) -> Refusal:
+    return Refusal(
+        reason=RefusalReason.NO_TARGET,
+        message=f"no target of service {call.service} is announced here",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/packages/endivebeam-node/src/endivebeam_node/_calls.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_calls.py
@@ -5,6 +5,7 @@
 import anyio
 import msgspec
 
+from endivebeam_limits import RetryBudgets
 from endivebeam_model import (
     Member,
     NodeId,
@@ -48,6 +49,7 @@
         admit: Admit,
         forward: Forward,
         run_once: RunOnce,
+        budgets: RetryBudgets,
     ) -> None:
         self._local = local
         self._peers = peers
@@ -56,6 +58,7 @@
         self._admit = admit
         self._forward = forward
         self._run_once = run_once
+        self._budgets = budgets
         self.draining = False
 
     async def route(self, call: CallRequest) -> Outcome:
@@ -63,29 +66,49 @@
 
         A refusal that only says that the call went to the wrong node (draining,
         no target, unreachable) moves the call to another one without spending
-        a credit, at most ``MAX_MOVES`` times.
+        a credit, at most ``MAX_MOVES`` times. A retry costs one credit and one
+        retry of the service's budget.
         """
+        started = time.monotonic()
+        self._budgets.of(call.service).note_call(started)
+        member = self._choose(call.service, frozenset())
+        if member is None:
+            return _no_target(call)
         excluded: frozenset[NodeId] = frozenset()
         moves = 0
-        started = time.monotonic()
+        uncertain: CallRefused | None = None
         while True:
             left = call.timeout_ms - round((time.monotonic() - started) * 1000)
-            member = self._choose(call.service, excluded)
-            if member is None or left <= 0:
-                return _no_target(call, left)
+            if left <= 0:
+                refused = refuse(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed")
+                return _worst(refused, uncertain)
             sent = msgspec.structs.replace(call, timeout_ms=left)
             outcome = await self._attempt(member, sent)
-            match outcome:
-                case CallAnswer():
-                    return outcome
-                case CallRefused(retry_credits=credits):
-                    excluded = excluded | {member.node_id}
-                    if _is_move(outcome) and moves < MAX_MOVES:
-                        moves += 1
-                        continue
-                    if credits < 1 or not _may_retry(call, outcome):
-                        return outcome
-                    call = msgspec.structs.replace(call, retry_credits=credits - 1)
+            if isinstance(outcome, CallAnswer):
+                return outcome
+            # Credits that a lost or cancelled attempt holds are not used again.
+            credits = min(call.retry_credits, outcome.retry_credits)
+            outcome = msgspec.structs.replace(outcome, retry_credits=credits)
+            if outcome.refusal.run is RunStatus.UNKNOWN:
+                uncertain = outcome
+            excluded = excluded | {member.node_id}
+            is_move = _is_move(outcome) and moves < MAX_MOVES
+            following = self._choose(call.service, excluded)
+            if following is None:
+                return _worst(outcome, uncertain)
+            if is_move:
+                moves += 1
+            elif credits >= 1 and self._take_retry(call, outcome):
+                credits -= 1
+            else:
+                return _worst(outcome, uncertain)
+            call = msgspec.structs.replace(call, retry_credits=credits)
+            member = following
+
+    def _take_retry(self, call: CallRequest, outcome: CallRefused) -> bool:
+        if not _may_retry(call, outcome):
+            return False
+        return self._budgets.of(call.service).take_retry(time.monotonic())
 
     async def serve(self, call: CallRequest) -> Outcome:
         """Run a call on the target beside this node."""
@@ -196,9 +219,14 @@
     return call.semantics is Semantics.IDEMPOTENT
 
 
-def _no_target(call: CallRequest, left_ms: int) -> CallRefused:
-    if left_ms <= 0:
-        return refuse(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed")
+def _worst(outcome: CallRefused, uncertain: CallRefused | None) -> CallRefused:
+    # After an attempt that may have run, no later refusal can say "not run".
+    if uncertain is None or outcome.refusal.run is RunStatus.UNKNOWN:
+        return outcome
+    return msgspec.structs.replace(uncertain, retry_credits=outcome.retry_credits)
+
+
+def _no_target(call: CallRequest) -> CallRefused:
     return refuse(
         RefusalReason.NO_TARGET,
         f"no target of service {call.service} is available",
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -4,8 +4,6 @@
 import secrets
 import signal
 import socket
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from typing import cast
 
 import anyio
@@ -16,9 +14,9 @@
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.typing import ASGIFramework
 from loguru import logger
-from returns.result import Result, Success
 
 from endivebeam_http import Handler, ServerConnection
+from endivebeam_limits import RetryBudgets
 from endivebeam_model import (
     Address,
     Contract,
@@ -41,7 +39,6 @@
     Heartbeat,
     HeartbeatEcho,
     Hello,
-    LoadReport,
     MemberList,
     PeerStream,
     Reply,
@@ -50,6 +47,7 @@
 )
 
 from ._admin import build_admin_app
+from ._admission import LocalAdmission
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
 from ._config import ConfigCopy
@@ -107,20 +105,24 @@
             seeds=[Address(s.host, s.port) for s in settings.seeds],
             rng=self._rng,
         )
+        self.admission = LocalAdmission(
+            tasks=tasks, target=self.target, config=self.config
+        )
         self.forwarder = TargetForwarder(
             tasks=tasks,
             target=self.target,
             in_flight=self.in_flight,
-            report_load=self._report_load,
+            report_load=self.admission.report,
         )
         self.calls = CallPath(
             local=NodeId(settings.node_id),
             peers=self.peers,
             choose=self._choose,
             observe=self._observe,
-            admit=self._admit,
-            forward=self.forwarder.forward,
+            admit=self.admission.admit,
+            forward=self.admission.watch(self.forwarder.forward),
             run_once=self._run_once,
+            budgets=RetryBudgets(),
         )
         self.callers = CallerHandler(
             config=self.config, calls=self.calls, take_token=self._take_token
@@ -273,15 +275,6 @@
     def _observe(self, node_id: NodeId, observation: Observation) -> None:
         return
 
-    def _report_load(self) -> LoadReport:
-        announcement = self.target.announcement
-        limit = 0 if announcement is None else announcement.slots
-        return LoadReport(in_use=len(self.in_flight), limit=limit)
-
-    @asynccontextmanager
-    async def _admit(self, call: CallRequest) -> AsyncIterator[Result[None, Refusal]]:
-        yield Success(None)
-
     async def _run_once(self, call: CallRequest, forward: Forward) -> Outcome:
         return await forward(call)
 
--- a/packages/endivebeam-node/src/endivebeam_node/_forward.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_forward.py
@@ -61,6 +61,9 @@
         context = self._in_flight.open(call, deadline)
         try:
             return await self._exchange(pool, call, context)
+        except anyio.get_cancelled_exc_class():
+            context.cancel_nested()
+            raise
         finally:
             self._in_flight.close(context)
 
@@ -79,13 +82,14 @@
                 credits=context.retry_credits,
             )
         except (ConnectionLostError, HttpError) as error:
+            context.cancel_nested()
             return refuse(
                 RefusalReason.TARGET_FAILED,
                 f"the target failed before it answered: {error}",
                 run=RunStatus.UNKNOWN,
                 credits=context.retry_credits,
             )
-        if _is_refusal(response):
+        if _is_refusal(response) and not context.has_nested:
             return refuse(
                 RefusalReason.OVERLOADED,
                 "the target refused the call without running it",
@@ -96,7 +100,7 @@
         return CallAnswer(
             request_id=call.request_id,
             status=response.status,
-            headers=[Header(*f) for f in strip_hop_by_hop(response.fields)],
+            headers=_answer_headers(response, context),
             body=response.body,
             retry_credits=context.retry_credits,
             load=self._report_load(),
@@ -126,5 +130,15 @@
     return Request(method=call.method, target=call.path, fields=fields, body=call.body)
 
 
+def _answer_headers(response: Response, context: Context) -> list[Header]:
+    # A target that made nested calls has run, even if it repeats the refusal of
+    # one of them; upstream nodes must neither retry it nor report "not run".
+    headers = [Header(*f) for f in strip_hop_by_hop(response.fields)]
+    if not context.has_nested:
+        return headers
+    unknown = Header(RUN_FIELD, RunStatus.UNKNOWN.value.encode())
+    return [unknown if h.name == RUN_FIELD else h for h in headers]
+
+
 def _is_refusal(response: Response) -> bool:
     return response.status == 503 and response.get(RUN_FIELD) == b"not-run"
--- a/packages/endivebeam-node/src/endivebeam_node/_inflight.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_inflight.py
@@ -1,7 +1,9 @@
 """Calls that the local target is serving, found again by its nested calls."""
 
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+import anyio
 
 from endivebeam_model import AccountId
 from endivebeam_wire import CallRequest
@@ -36,6 +38,9 @@
 
     ``retry_credits`` are what is left for the whole chain below this call;
     ``lent`` is true while a nested call holds them. ``deadline`` is monotonic.
+    ``has_nested`` is true once the target made a call that may belong to this
+    one. ``failed`` has digests of nested calls that failed, so that a target
+    that repeats one is charged a credit. ``scopes`` cancel the nested calls.
     """
 
     token: str
@@ -44,6 +49,14 @@
     deadline: float
     retry_credits: int
     lent: bool = False
+    has_nested: bool = False
+    failed: set[bytes] = field(default_factory=set)
+    scopes: set[anyio.CancelScope] = field(default_factory=set)
+
+    def cancel_nested(self) -> None:
+        """Cancel the nested calls, whose results nobody waits for."""
+        for scope in self.scopes:
+            scope.cancel()
 
 
 class InFlight:
@@ -93,6 +106,24 @@
             return None
         return sharing[0]
 
+    def is_named(
+        self, context: Context, token: str | None, traceparent: str | None
+    ) -> bool:
+        """Return whether a nested call names this context and no other.
+
+        Calls that share a trace id cannot be told apart by it, so a call found
+        by a shared one must not spend the credits of any of them.
+        """
+        if token is not None:
+            return token == context.token
+        trace_id = parse_trace_id(traceparent)
+        return trace_id is not None and self._by_trace.get(trace_id) == [context]
+
+    def note_unnamed(self) -> None:
+        """Note a nested call that any call in flight may have made."""
+        for context in self._by_token.values():
+            context.has_nested = True
+
     def common_account(self) -> Context | None:
         """Return the context with the earliest deadline if all share an account.
 
--- a/packages/endivebeam-node/src/endivebeam_node/_nested.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_nested.py
@@ -4,17 +4,20 @@
 from collections.abc import Callable
 
 import anyio
+import msgspec
 from returns.result import Failure, Success
 
 from endivebeam_http import Request, Response
 from endivebeam_model import (
+    Criticality,
     Refusal,
     RefusalReason,
     Route,
+    RunStatus,
     Semantics,
     ServiceName,
 )
-from endivebeam_wire import CallRequest
+from endivebeam_wire import CallAnswer, CallRequest
 
 from ._callers import (
     IDEMPOTENCY_FIELD,
@@ -32,10 +35,14 @@
 from ._config import ConfigCopy
 from ._forward import CONTEXT_FIELD
 from ._inflight import Context, InFlight
+from ._outcomes import refuse
+from ._ports import Outcome
 from ._targets import Announcement, LocalTarget
 
 ANNOUNCE_PATH = "/v1/target"
 MAX_DEPTH = 32
+# Failed nested calls remembered per call; further ones are charged as repeats.
+MAX_FAILED = 1024
 
 
 class LocalHandler:
@@ -80,6 +87,8 @@
         service, path, route = resolve_route(self._config, request)
         context = self._find_context(request)
         if context is None:
+            if _read_token(request) is None:
+                self._in_flight.note_unnamed()
             if not route.open:
                 raise RefusedError(_context_missing())
             call = _without_context(request, service, path, route)
@@ -94,41 +103,101 @@
         path: str,
         route: Route,
     ) -> Response:
-        lends = not context.lent and _names_context(request)
+        named = self._in_flight.is_named(
+            context, _read_token(request), _read_parent(request)
+        )
+        lends = named and not context.lent
         credits = context.retry_credits if lends else 0
         call = _nested_call(context, request, service, path, route, credits)
+        if not named:
+            # It may belong to another call, so no call lends it credits or
+            # cancels it.
+            self._in_flight.note_unnamed()
+            return outcome_response(await self._calls.route(call))
+        context.has_nested = True
+        call = _charge_repeat(context, call)
         if lends:
             context.lent = True
             context.retry_credits = 0
-        try:
-            outcome = await self._calls.route(call)
-            if lends:
-                context.retry_credits = min(credits, outcome.retry_credits)
-        finally:
-            if lends:
-                context.lent = False
+        outcome = await self._route_below(context, call)
+        if lends:
+            context.lent = False
+            context.retry_credits = min(call.retry_credits, outcome.retry_credits)
         return outcome_response(outcome)
 
+    async def _route_below(self, context: Context, call: CallRequest) -> Outcome:
+        outcome: Outcome | None = None
+        with anyio.CancelScope() as scope:
+            context.scopes.add(scope)
+            try:
+                outcome = await self._calls.route(call)
+            finally:
+                context.scopes.discard(scope)
+                if _has_failed(outcome):
+                    context.failed.add(_digest_call(call))
+        if outcome is None:
+            return refuse(
+                RefusalReason.DEADLINE_EXCEEDED,
+                "the call that this nested call belongs to has ended",
+                run=RunStatus.UNKNOWN,
+            )
+        return outcome
+
     def _find_context(self, request: Request) -> Context | None:
-        token = request.get(CONTEXT_FIELD)
-        parent = request.get(b"traceparent")
+        token = _read_token(request)
+        parent = _read_parent(request)
         if token is None and parent is None:
             return self._in_flight.common_account()
-        found = self._in_flight.find(
-            None if token is None else token.decode("latin-1"),
-            None if parent is None else parent.decode("latin-1"),
-        )
+        found = self._in_flight.find(token, parent)
         if found is None and token is None:
             return self._in_flight.common_account()
         return found
 
 
-def _names_context(request: Request) -> bool:
-    # A call attributed only by its account gets no retry credits.
-    return (
-        request.get(CONTEXT_FIELD) is not None
-        or request.get(b"traceparent") is not None
-    )
+def _read_token(request: Request) -> str | None:
+    token = request.get(CONTEXT_FIELD)
+    return None if token is None else token.decode("latin-1")
+
+
+def _read_parent(request: Request) -> str | None:
+    parent = request.get(b"traceparent")
+    return None if parent is None else parent.decode("latin-1")
+
+
+def _has_failed(outcome: Outcome | None) -> bool:
+    match outcome:
+        case CallAnswer(status=status):
+            return status >= 500
+    return True
+
+
+def _digest_call(call: CallRequest) -> bytes:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (call.service, call.method, call.path):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(call.body)
+    return digest.digest()
+
+
+def _charge_repeat(context: Context, call: CallRequest) -> CallRequest:
+    """Charge one credit when a target repeats a nested call that failed.
+
+    Without this, targets that retry on their own multiply the attempts at each
+    depth, which the credits of the chain are there to prevent.
+    """
+    forgets = len(context.failed) >= MAX_FAILED
+    if not forgets and _digest_call(call) not in context.failed:
+        return call
+    if call.retry_credits < 1:
+        raise RefusedError(
+            Refusal(
+                reason=RefusalReason.OVERLOADED,
+                message="this nested call failed before, and the chain has no "
+                "retry credit left to repeat it",
+            )
+        )
+    return msgspec.structs.replace(call, retry_credits=call.retry_credits - 1)
 
 
 def _context_missing() -> Refusal:
@@ -168,13 +237,19 @@
         chain_id=parent.chain_id,
         depth=parent.depth + 1,
         timeout_ms=max(0, round(timeout_s * 1000)),
-        criticality=route.criticality,
+        criticality=_higher(parent.criticality, route.criticality),
         semantics=route.semantics,
         retry_credits=credits,
         idempotency_key=_nested_key(parent, request, service, path, route),
     )
 
 
+def _higher(first: Criticality, second: Criticality) -> Criticality:
+    # A booking would fail with a shed look-up below it, so it passes its class on.
+    order = (Criticality.CRITICAL, Criticality.NORMAL, Criticality.SHEDDABLE)
+    return min(first, second, key=order.index)
+
+
 def _nested_key(
     parent: CallRequest,
     request: Request,
--- a/packages/endivebeam-node/src/endivebeam_node/_targets.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_targets.py
@@ -20,10 +20,15 @@
 
 
 class LocalTarget:
-    """Latest announcement of the target and the time it arrived."""
+    """Latest announcement of the target and the time it arrived.
+
+    ``generation`` rises with each target that appears: the first one, one that
+    was gone, and one of another service or port. Such a target starts cold.
+    """
 
     def __init__(self) -> None:
         self.announcement: Announcement | None = None
+        self.generation = 0
         self._announced_at = 0.0
 
     def announce(self, body: bytes, now: float) -> Result[Announcement, str]:
@@ -36,6 +41,8 @@
             return Failure("announcement is not valid: port must be 1 to 65535")
         if announcement.slots < 1 or announcement.connections < 1:
             return Failure("announcement is not valid: slots and connections are >= 1")
+        if _is_new(self.current(now), announcement):
+            self.generation += 1
         self.announcement = announcement
         self._announced_at = now
         return Success(announcement)
@@ -49,3 +56,9 @@
     def forget(self) -> None:
         """Drop the announcement after the target refused a connection."""
         self.announcement = None
+
+
+def _is_new(known: Announcement | None, announced: Announcement) -> bool:
+    if known is None:
+        return True
+    return (known.service, known.port) != (announced.service, announced.port)
