--- a/packages/endivebeam-store/src/endivebeam_store/_objects.py
+++ b/packages/endivebeam-store/src/endivebeam_store/_objects.py
@@ -1,45 +1,77 @@
 """Client of the platform's object store over HTTP."""
 
+from typing import Protocol
 from urllib.parse import quote
 
-import anyio
 import httpx
 from returns.result import Failure, Result, Success
 
+from ._http import Answer, exchange
 from ._rows import Unavailable
 
 REQUEST_TIMEOUT_S = 5.0
+MAX_OBJECT_BYTES = 64 << 20
+
+
+class Objects(Protocol):
+    """The platform's object store."""
+
+    async def read(self, name: str) -> Result[bytes | None, Unavailable]:
+        """Return the content of an object, or None when it does not exist."""
+
+    async def write(self, name: str, content: bytes) -> Result[None, Unavailable]:
+        """Create or replace an object."""
 
 
 class HttpObjects:
     """The platform's object store behind its HTTP interface."""
 
-    def __init__(self, *, client: httpx.AsyncClient) -> None:
+    def __init__(
+        self,
+        *,
+        client: httpx.AsyncClient,
+        request_timeout_s: float = REQUEST_TIMEOUT_S,
+        max_bytes: int = MAX_OBJECT_BYTES,
+    ) -> None:
         self._client = client
+        self._timeout_s = request_timeout_s
+        self._max_bytes = max_bytes
 
     async def read(self, name: str) -> Result[bytes | None, Unavailable]:
         """Return the content of an object, or None when it does not exist."""
         answer = await self._send("GET", name, None)
-        return answer.map(
-            lambda response: None if response.status_code == 404 else response.content
-        )
+        match answer:
+            case Success(Answer(status=200, content=content)):
+                return Success(content)
+            case Success(Answer(status=404)):
+                return Success(None)
+            case Success(Answer(status=status)):
+                return Failure(Unavailable(message=_unexpected(status)))
+        return Failure(answer.failure())
 
     async def write(self, name: str, content: bytes) -> Result[None, Unavailable]:
         """Create or replace an object."""
         answer = await self._send("PUT", name, content)
-        return answer.map(lambda response: None)
+        match answer:
+            case Success(Answer(status=200 | 201 | 204)):
+                return Success(None)
+            case Success(Answer(status=status)):
+                message = _unexpected(status)
+                return Failure(Unavailable(message=message, maybe_applied=True))
+        return Failure(answer.failure())
 
     async def _send(
         self, method: str, name: str, content: bytes | None
-    ) -> Result[httpx.Response, Unavailable]:
-        path = f"/v1/objects/{quote(name)}"
-        try:
-            with anyio.fail_after(REQUEST_TIMEOUT_S):
-                response = await self._client.request(method, path, content=content)
-        except (httpx.HTTPError, TimeoutError) as error:
-            message = f"the object store did not answer: {type(error).__name__}"
-            return Failure(Unavailable(message=message, maybe_applied=method == "PUT"))
-        if response.status_code not in (200, 201, 404):
-            message = f"the object store answered status {response.status_code}"
-            return Failure(Unavailable(message=message))
-        return Success(response)
+    ) -> Result[Answer, Unavailable]:
+        return await exchange(
+            self._client,
+            method,
+            f"/v1/objects/{quote(name)}",
+            body=content,
+            timeout_s=self._timeout_s,
+            max_bytes=self._max_bytes,
+        )
+
+
+def _unexpected(status: int) -> str:
+    return f"the object store answered status {status}"
--- a/packages/endivebeam-store/src/endivebeam_store/_rows.py
+++ b/packages/endivebeam-store/src/endivebeam_store/_rows.py
@@ -1,13 +1,15 @@
 """Rows, transactions and their results, independent of any transport."""
 
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import msgspec
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
 from endivebeam_model import OperationId
 
+T = TypeVar("T")
+
 
 class Row(msgspec.Struct, frozen=True, kw_only=True):
     """A row of the platform's table.
@@ -73,6 +75,15 @@
 CommitError = Conflict | Unavailable
 
 
+def decode_value(row: Row, kind: type[T]) -> Result[T, Unavailable]:
+    """Return the typed value of a row; a malformed value is a failure."""
+    try:
+        return Success(msgspec.json.decode(row.value, type=kind))
+    except (msgspec.DecodeError, UnicodeError) as error:
+        message = f"row {row.key} is malformed: {error}"
+        return Failure(Unavailable(message=message))
+
+
 class Table(Protocol):
     """The platform's transactional table."""
 
--- a/packages/endivebeam-store/src/endivebeam_store/_seeds.py
+++ b/packages/endivebeam-store/src/endivebeam_store/_seeds.py
@@ -8,7 +8,16 @@
 
 from endivebeam_model import Address, DomainName, OperationId
 
-from ._rows import CommitError, Committed, Put, Row, Table, Transaction, Unavailable
+from ._rows import (
+    CommitError,
+    Committed,
+    Put,
+    Row,
+    Table,
+    Transaction,
+    Unavailable,
+    decode_value,
+)
 
 SEEDS_PER_DOMAIN = 4
 MAX_SEED_ROWS = 256
@@ -41,4 +50,6 @@
 
 
 def _decode_seeds(rows: Sequence[Row]) -> Sequence[Seed]:
-    return [msgspec.json.decode(row.value, type=Seed) for row in rows]
+    # A malformed row must not keep a node from the seeds in the other rows.
+    decoded = (decode_value(row, Seed).value_or(None) for row in rows)
+    return [seed for seed in decoded if seed is not None]
