Run at-most-once calls under call records

Cause: at-most-once routes were forwarded like idempotent ones, so a deposit sent to two nodes ran twice.

Change: after its admission a call is claimed in the table, then dispatched in a task of the node that neither its requester nor its deadline ends; the answer is stored before it is given. A retry gets the whole first answer, key_reused, call_in_progress or outcome_unknown; AskOutcome asks the node that claimed. A refusal of a later attempt no longer hides that an earlier attempt of the same call may have run. The key derived for a nested call includes the parent's service, because a key is scoped by service.

--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_attempts.py
@@ -0,0 +1,373 @@
+"""Decisions about at-most-once calls, without I/O.
+
+``Attempts`` is one node's memory of its at-most-once calls. Its generators
+yield typed actions and are sent their results, so that tests can interleave,
+pause and kill several nodes at any step.
+"""
+
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from endivebeam_model import NodeId, OperationId, RefusalReason, RunStatus
+from endivebeam_store import (
+    CallState,
+    Claim,
+    Claimed,
+    FirstAnswer,
+    Found,
+    Read,
+    Row,
+    StoreAction,
+    Unavailable,
+    Unconfirmed,
+    answer_steps,
+    call_row_key,
+    claim_steps,
+    complete_steps,
+    decode_record,
+    digest_request,
+    release_steps,
+)
+from endivebeam_wire import CallAnswer, CallRefused, CallRequest, OutcomeState
+
+from ._answers import RecentAnswers
+from ._once_outcomes import (
+    refuse_in_progress,
+    refuse_key_reused,
+    refuse_not_readable,
+    refuse_outcome_unknown,
+    refuse_store_unavailable,
+    replay,
+)
+from ._outcomes import RETRY_AFTER_S, refuse
+from ._ports import Outcome
+
+MAX_OPEN = 1024
+MAX_UNSAVED_BYTES = 16 << 20
+MAX_ROUNDS = 4
+FIRST_SETTLE_DELAY_S = 0.1
+MAX_SETTLE_DELAY_S = 5.0
+
+T = TypeVar("T")
+
+
+class Phase(Enum):
+    """How far an attempt has come.
+
+    ``DISPATCHED`` means that the target may have run the call. ``ABANDONED``
+    attempts never run; ``LOST`` ones ended without an answer.
+    """
+
+    CLAIMING = "claiming"
+    DISPATCHED = "dispatched"
+    ANSWERED = "answered"
+    ABANDONED = "abandoned"
+    LOST = "lost"
+
+
+class Dispatch(msgspec.Struct, frozen=True):
+    """Action: forward the call to the local target. Result: ``Outcome``."""
+
+
+class Ask(msgspec.Struct, frozen=True):
+    """Action: ask a node about its claim. Result: ``Known``."""
+
+    node: NodeId
+    op_id: OperationId
+
+
+class Wait(msgspec.Struct, frozen=True):
+    """Action: wait before the next try. Result: None."""
+
+    seconds: float
+
+
+class Known(msgspec.Struct, frozen=True):
+    """What a node knows about a claim."""
+
+    state: OutcomeState
+    answer: FirstAnswer | None = None
+
+
+class Free(msgspec.Struct, frozen=True):
+    """The call never ran; a claim may replace this version of its row."""
+
+    version: int
+
+
+Action = StoreAction | Dispatch | Ask | Wait
+Steps = Generator[Action, Any, T]
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Attempt:
+    """One at-most-once call at its target's node.
+
+    ``claim`` is set while a claim write of this attempt may be in the table
+    or on its way there. A ``stopped`` attempt is never dispatched.
+    """
+
+    call: CallRequest
+    row_key: str
+    request_digest: str
+    expired: Callable[[], bool]
+    phase: Phase = Phase.CLAIMING
+    claim: Claim | None = None
+    confirmed: bool = False
+    stopped: bool = False
+    answer: FirstAnswer | None = None
+
+
+class Attempts:
+    """The at-most-once calls that one node runs, settles or remembers."""
+
+    def __init__(
+        self, *, node: NodeId, new_op_id: Callable[[], OperationId], max_open: int
+    ) -> None:
+        self._node = node
+        self._new_op_id = new_op_id
+        self._max_open = max_open
+        self._open: set[Attempt] = set()
+        self._by_key: dict[str, Attempt] = {}
+        self._by_op: dict[OperationId, Attempt] = {}
+        self._recent = RecentAnswers()
+        self._unsaved_bytes = 0
+        # After an unconfirmed claim the store is read before the next claim,
+        # so that an outage does not leave one claim to release per call.
+        self._suspect = False
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def recall(self, call: CallRequest) -> Outcome | None:
+        """Return the outcome of a retry that this node can tell from memory."""
+        row_key = call_row_key(call.account, call.service, call.idempotency_key)
+        digest = _digest(call)
+        attempt = self._by_key.get(row_key)
+        if attempt is not None and attempt.phase is not Phase.ABANDONED:
+            if attempt.request_digest != digest:
+                return refuse_key_reused(call)
+            if attempt.answer is not None:
+                return replay(call, attempt.answer)
+            return None if attempt.stopped else refuse_in_progress(call)
+        recent = self._recent.find(row_key)
+        if recent is None:
+            return None
+        if recent.request_digest != digest:
+            return refuse_key_reused(call)
+        return replay(call, recent.answer)
+
+    def open(
+        self, call: CallRequest, *, expired: Callable[[], bool]
+    ) -> Attempt | CallRefused:
+        """Start an attempt, or refuse it when too many are open."""
+        if len(self._open) >= self._max_open or self._unsaved_bytes > MAX_UNSAVED_BYTES:
+            return refuse(
+                RefusalReason.OVERLOADED,
+                "too many at-most-once calls are open at this node",
+                retry_after_s=RETRY_AFTER_S,
+                credits=call.retry_credits,
+            )
+        attempt = Attempt(
+            call=call,
+            row_key=call_row_key(call.account, call.service, call.idempotency_key),
+            request_digest=_digest(call),
+            expired=expired,
+        )
+        self._open.add(attempt)
+        self._by_key[attempt.row_key] = attempt
+        return attempt
+
+    def stop(self, attempt: Attempt) -> bool:
+        """Stop an attempt; return whether it never ran and never will."""
+        if attempt.phase is Phase.CLAIMING:
+            attempt.stopped = True
+        return attempt.stopped or attempt.phase is Phase.ABANDONED
+
+    def look_up(self, op_id: OperationId) -> Known:
+        """Return what this node knows about one of its claims."""
+        attempt = self._by_op.get(op_id)
+        if attempt is None:
+            recent = self._recent.find_claim(op_id)
+            if recent is None:
+                return Known(OutcomeState.UNKNOWN)
+            return Known(OutcomeState.ANSWERED, recent.answer)
+        if attempt.answer is not None:
+            return Known(OutcomeState.ANSWERED, attempt.answer)
+        if attempt.stopped or attempt.phase is Phase.ABANDONED:
+            return Known(OutcomeState.NOT_DISPATCHED)
+        if attempt.phase is Phase.LOST:
+            return Known(OutcomeState.UNKNOWN)
+        return Known(OutcomeState.RUNNING)
+
+    def call_steps(self, attempt: Attempt) -> Steps[Outcome]:
+        """Claim and dispatch a call, or find the outcome of its first run."""
+        free = Free(0)
+        if self._suspect:
+            first = yield from self._check_store(attempt)
+            if not isinstance(first, Free):
+                return first
+            free = first
+        for _ in range(MAX_ROUNDS):
+            match (yield from self._claim(attempt, free)):
+                case Claimed():
+                    return (yield from self._dispatch(attempt))
+                case Unconfirmed(message=message):
+                    return refuse_store_unavailable(attempt.call, message)
+                case Found(row=row):
+                    verdict = yield from self._judge(attempt, row)
+                    if not isinstance(verdict, Free):
+                        return verdict
+                    free = verdict
+        return refuse_in_progress(attempt.call)
+
+    def settle_steps(self, attempt: Attempt) -> Steps[None]:
+        """Store the answer or release the claim, however long it takes.
+
+        To be run once the call steps have ended or were cancelled.
+        """
+        if attempt.phase is Phase.CLAIMING:
+            attempt.phase = Phase.ABANDONED
+        elif attempt.phase is Phase.DISPATCHED:
+            attempt.phase = Phase.LOST
+        delay_s = FIRST_SETTLE_DELAY_S
+        while not (yield from self._settle_once(attempt)):
+            yield Wait(delay_s)
+            delay_s = min(2 * delay_s, MAX_SETTLE_DELAY_S)
+        self._close(attempt)
+
+    def _check_store(self, attempt: Attempt) -> Steps[Outcome | Free]:
+        read: Result[Row | None, Unavailable] = yield Read(attempt.row_key)
+        if isinstance(read, Failure):
+            return refuse_store_unavailable(attempt.call, read.failure().message)
+        self._suspect = False
+        row = read.unwrap()
+        if row is None:
+            return Free(0)
+        return (yield from self._judge(attempt, row))
+
+    def _claim(
+        self, attempt: Attempt, free: Free
+    ) -> Steps[Claimed | Found | Unconfirmed]:
+        claim = Claim(
+            row_key=attempt.row_key,
+            op_id=self._new_op_id(),
+            node=self._node,
+            request_digest=attempt.request_digest,
+            expected=free.version,
+        )
+        attempt.claim = claim
+        self._by_op[claim.op_id] = attempt
+        result = yield from claim_steps(claim)
+        if isinstance(result, Claimed):
+            attempt.confirmed = True
+        elif isinstance(result, Found) or not result.maybe_applied:
+            attempt.claim = None
+            del self._by_op[claim.op_id]
+        self._suspect = isinstance(result, Unconfirmed)
+        return result
+
+    def _dispatch(self, attempt: Attempt) -> Steps[Outcome]:
+        if attempt.stopped or attempt.expired():
+            attempt.phase = Phase.ABANDONED
+            return refuse(
+                RefusalReason.DEADLINE_EXCEEDED,
+                "the deadline passed before the call was dispatched",
+                credits=attempt.call.retry_credits,
+            )
+        attempt.phase = Phase.DISPATCHED
+        outcome: Outcome = yield Dispatch()
+        match outcome:
+            case CallAnswer():
+                self._keep(attempt, outcome)
+            case CallRefused(refusal=refusal) if refusal.run is RunStatus.NOT_RUN:
+                attempt.phase = Phase.ABANDONED
+            case CallRefused():
+                attempt.phase = Phase.LOST
+        return outcome
+
+    def _keep(self, attempt: Attempt, answer: CallAnswer) -> None:
+        attempt.phase = Phase.ANSWERED
+        headers = tuple((h.name, h.value) for h in answer.headers)
+        attempt.answer = FirstAnswer(
+            status=answer.status, headers=headers, body=answer.body
+        )
+        self._unsaved_bytes += len(answer.body)
+
+    def _judge(
+        self, attempt: Attempt, row: Row, *, again: bool = False
+    ) -> Steps[Outcome | Free]:
+        call = attempt.call
+        match decode_record(row):
+            case Success(record) if record.state is CallState.RELEASED:
+                return Free(row.version)
+            case Success(record) if record.request_digest != attempt.request_digest:
+                return refuse_key_reused(call)
+            case Success(record) if record.state is CallState.DONE:
+                answer = yield from answer_steps(record)
+                return (
+                    refuse_not_readable(call)
+                    if answer is None
+                    else replay(call, answer)
+                )
+            case Success(record):
+                known = yield from self._ask(record.node, record.op_id)
+            case _:
+                return refuse_outcome_unknown(call)
+        match known:
+            case Known(state=OutcomeState.ANSWERED, answer=FirstAnswer() as answer):
+                return replay(call, answer)
+            case Known(state=OutcomeState.NOT_DISPATCHED):
+                return Free(row.version)
+            case Known(state=OutcomeState.RUNNING):
+                return refuse_in_progress(call)
+        return (yield from self._judge_again(attempt, row, again=again))
+
+    def _judge_again(
+        self, attempt: Attempt, row: Row, *, again: bool
+    ) -> Steps[Outcome | Free]:
+        # The call may have ended between reading the row and asking its node.
+        read: Result[Row | None, Unavailable] = yield Read(row.key)
+        match read:
+            case Success(Row() as current) if current.version != row.version:
+                if again:
+                    return refuse_in_progress(attempt.call)
+                return (yield from self._judge(attempt, current, again=True))
+            case Failure(_):
+                return refuse_not_readable(attempt.call)
+        return refuse_outcome_unknown(attempt.call)
+
+    def _ask(self, node: NodeId, op_id: OperationId) -> Steps[Known]:
+        if node == self._node:
+            return self.look_up(op_id)
+        known: Known = yield Ask(node, op_id)
+        return known
+
+    def _settle_once(self, attempt: Attempt) -> Steps[bool]:
+        claim = attempt.claim
+        if claim is None or attempt.phase is Phase.LOST:
+            return True
+        if attempt.answer is not None:
+            return (yield from complete_steps(claim, attempt.answer))
+        return (yield from release_steps(claim, confirmed=attempt.confirmed))
+
+    def _close(self, attempt: Attempt) -> None:
+        self._open.discard(attempt)
+        if self._by_key.get(attempt.row_key) is attempt:
+            del self._by_key[attempt.row_key]
+        claim = attempt.claim
+        if claim is None:
+            return
+        self._by_op.pop(claim.op_id, None)
+        if attempt.answer is not None:
+            self._unsaved_bytes -= len(attempt.answer.body)
+            self._recent.add(claim, attempt.answer)
+
+
+def _digest(call: CallRequest) -> str:
+    return digest_request(call.method, call.path, call.body)
--- a/packages/endivebeam-node/src/endivebeam_node/_calls.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_calls.py
@@ -67,12 +67,15 @@
         """
         excluded: frozenset[NodeId] = frozenset()
         moves = 0
+        # An attempt that may have run decides the run status of the whole call:
+        # a later attempt that did not run must not hide it.
+        maybe_ran: CallRefused | None = None
         started = time.monotonic()
         while True:
             left = call.timeout_ms - round((time.monotonic() - started) * 1000)
             member = self._choose(call.service, excluded)
             if member is None or left <= 0:
-                return _no_target(call, left)
+                return maybe_ran or _no_target(call, left)
             sent = msgspec.structs.replace(call, timeout_ms=left)
             outcome = await self._attempt(member, sent)
             match outcome:
@@ -80,11 +83,13 @@
                     return outcome
                 case CallRefused(retry_credits=credits):
                     excluded = excluded | {member.node_id}
+                    if outcome.refusal.run is RunStatus.UNKNOWN:
+                        maybe_ran = outcome
                     if _is_move(outcome) and moves < MAX_MOVES:
                         moves += 1
                         continue
                     if credits < 1 or not _may_retry(call, outcome):
-                        return outcome
+                        return _with_credits(maybe_ran or outcome, credits)
                     call = msgspec.structs.replace(call, retry_credits=credits - 1)
 
     async def serve(self, call: CallRequest) -> Outcome:
@@ -97,7 +102,7 @@
                 credits=call.retry_credits,
             )
         if call.semantics is Semantics.AT_MOST_ONCE:
-            return await self._run_once(call, self._serve_admitted)
+            return await self._run_once(call, self._admit, self._forward)
         return await self._serve_admitted(call)
 
     async def _serve_admitted(self, call: CallRequest) -> Outcome:
@@ -182,15 +187,21 @@
         return msgspec.structs.replace(reply, retry_credits=returned + kept)
 
 
+def _with_credits(outcome: CallRefused, credits: int) -> CallRefused:
+    return msgspec.structs.replace(outcome, retry_credits=credits)
+
+
 def _is_move(outcome: CallRefused) -> bool:
-    reason = outcome.refusal.reason
-    return reason in (RefusalReason.DRAINING, RefusalReason.NO_TARGET)
+    refusal = outcome.refusal
+    if refusal.run is not RunStatus.NOT_RUN:
+        return False
+    return refusal.reason in (RefusalReason.DRAINING, RefusalReason.NO_TARGET)
 
 
 def _may_retry(call: CallRequest, outcome: CallRefused) -> bool:
     refusal = outcome.refusal
     if refusal.reason is RefusalReason.OVERLOADED:
-        return True
+        return refusal.run is RunStatus.NOT_RUN
     if refusal.reason is not RefusalReason.TARGET_FAILED:
         return False
     return call.semantics is Semantics.IDEMPOTENT
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -27,15 +27,17 @@
     Member,
     MemberState,
     NodeId,
+    OperationId,
     Refusal,
     RegionName,
     ServiceName,
     WithdrawKey,
 )
-from endivebeam_store import ConfigLog, HttpTable
+from endivebeam_store import ConfigLog, HttpObjects, HttpTable
 from endivebeam_wire import (
     PROTOCOL_VERSION,
     AskEntries,
+    AskOutcome,
     CallRequest,
     Entries,
     Heartbeat,
@@ -50,6 +52,7 @@
 )
 
 from ._admin import build_admin_app
+from ._attempts import Known
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
 from ._config import ConfigCopy
@@ -57,8 +60,9 @@
 from ._inflight import InFlight
 from ._members import Members
 from ._nested import LocalHandler
+from ._once import OnceRunner, ask_outcome
 from ._peers import Peers
-from ._ports import Forward, Observation, Outcome
+from ._ports import Observation, Outcome
 from ._settings import Settings
 from ._sync import Synchronizer
 from ._targets import Announcement, LocalTarget
@@ -66,6 +70,10 @@
 MAX_CALLER_CONNECTIONS = 2048
 PORTS_CHECK_PERIOD_S = 0.05
 
+# Half of the time that a call waits for its claim, so that a lost answer
+# leaves time to read the row back.
+RECORD_TIMEOUT_S = 0.45
+
 SocketListener = anyio.abc.Listener[anyio.abc.SocketStream]
 
 
@@ -113,6 +121,21 @@
             in_flight=self.in_flight,
             report_load=self._report_load,
         )
+        # Call records have their own connections, so that many slow claims
+        # cannot keep leases and configuration from the store.
+        self._record_client = httpx.AsyncClient(base_url=settings.platform_url)
+        self.once = OnceRunner(
+            tasks=tasks,
+            node=NodeId(settings.node_id),
+            table=HttpTable(
+                client=self._record_client,
+                request_timeout_s=RECORD_TIMEOUT_S,
+                read_back_attempts=0,
+            ),
+            objects=HttpObjects(client=self._record_client),
+            ask=self._ask_outcome,
+            report_load=self._report_load,
+        )
         self.calls = CallPath(
             local=NodeId(settings.node_id),
             peers=self.peers,
@@ -120,7 +143,7 @@
             observe=self._observe,
             admit=self._admit,
             forward=self.forwarder.forward,
-            run_once=self._run_once,
+            run_once=self.once.run,
         )
         self.callers = CallerHandler(
             config=self.config, calls=self.calls, take_token=self._take_token
@@ -161,6 +184,7 @@
             servers.cancel_scope.cancel()
         await self.peers.close()
         await self._client.aclose()
+        await self._record_client.aclose()
 
     async def _drain(self) -> None:
         logger.info("node: draining")
@@ -171,7 +195,7 @@
         with anyio.move_on_after(self.settings.drain_timeout_s):
             # Other nodes need time to learn of the drain before streams close.
             await anyio.sleep(1.0)
-            while self._connections or len(self.in_flight):
+            while self._connections or len(self.in_flight) or len(self.once):
                 await anyio.sleep(PORTS_CHECK_PERIOD_S)
         self.members.update_local(state=MemberState.LEFT)
         logger.info("node: drained")
@@ -230,6 +254,8 @@
             case AskEntries(request_id=request_id, after=after):
                 entries = self.config.entries_after(after)
                 return Entries(request_id=request_id, entries=entries)
+            case AskOutcome():
+                return self.once.answer(request)
 
     def _hello(self) -> Hello:
         local = self.members.local
@@ -282,8 +308,8 @@
     async def _admit(self, call: CallRequest) -> AsyncIterator[Result[None, Refusal]]:
         yield Success(None)
 
-    async def _run_once(self, call: CallRequest, forward: Forward) -> Outcome:
-        return await forward(call)
+    async def _ask_outcome(self, node_id: NodeId, op_id: OperationId) -> Known:
+        return await ask_outcome(self.peers, self.members.find_address(node_id), op_id)
 
     async def _take_token(self, contract: Contract) -> Refusal | None:
         return None
--- a/packages/endivebeam-node/src/endivebeam_node/_members.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_members.py
@@ -85,6 +85,13 @@
             if m.service == service and m.state is MemberState.SERVING
         ]
 
+    def find_address(self, node_id: NodeId) -> Address | None:
+        """Return the peer address of a node that is neither gone nor dead."""
+        record = self._records.get(node_id)
+        if record is None or record.state in _ENDED:
+            return None
+        return record.address
+
     def _refute(self, record: Member) -> None:
         # The record is from an earlier life of this node, or another node
         # declared this one dead. A higher incarnation supersedes both.
--- a/packages/endivebeam-node/src/endivebeam_node/_nested.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_nested.py
@@ -187,8 +187,10 @@
     if given is not None or not needs_key or not parent.idempotency_key:
         return read_idempotency_key(request, route)
     # A repeated parent repeats its nested calls; the derived key makes them one.
+    # A key is scoped by service, so the parent's service is part of the source.
     digest = hashlib.sha256()
-    for part in (parent.idempotency_key, service, request.method, path):
+    source = (parent.service, parent.idempotency_key, service, request.method, path)
+    for part in source:
         digest.update(part.encode())
         digest.update(b"\0")
     digest.update(request.body)
--- a/packages/endivebeam-node/src/endivebeam_node/_ports.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_ports.py
@@ -28,8 +28,11 @@
 Forward = Callable[[CallRequest], Awaitable[Outcome]]
 """Sends a call to the local target and returns its outcome."""
 
-RunOnce = Callable[[CallRequest, Forward], Awaitable[Outcome]]
-"""Runs an at-most-once call, or returns the outcome of its first run."""
+RunOnce = Callable[[CallRequest, Admit, Forward], Awaitable[Outcome]]
+"""Admits, claims and runs an at-most-once call, or returns its first outcome.
+
+The claim is written after the admission, directly before the dispatch.
+"""
 
 
 class Observation:
--- a/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Sequence
+from enum import Enum
 from typing import Annotated, NamedTuple
 
 import msgspec
@@ -19,6 +20,7 @@
     LogEntry,
     Member,
     NodeId,
+    OperationId,
     Refusal,
     Semantics,
     ServiceName,
@@ -165,6 +167,35 @@
     entries: Sequence[LogEntry]
 
 
-Request = Heartbeat | CallRequest | SyncMembers | AskEntries
-Reply = HeartbeatEcho | CallAnswer | CallRefused | MemberList | Entries
+class OutcomeState(Enum):
+    """What a node knows about the claim of an at-most-once call."""
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    NOT_DISPATCHED = "not_dispatched"
+    UNKNOWN = "unknown"
+
+
+class AskOutcome(_Message, frozen=True, kw_only=True, tag=40):
+    """Asks the node that claimed an at-most-once call how the call ended."""
+
+    request_id: int
+    op_id: OperationId
+
+
+class Outcome(_Message, frozen=True, kw_only=True, tag=41):
+    """What became of a claim; the answer is present in state ``ANSWERED``.
+
+    ``NOT_DISPATCHED`` promises that the claim never leads to a dispatch.
+    """
+
+    request_id: int
+    state: OutcomeState
+    status: int = 0
+    headers: Headers = []
+    body: Body = b""
+
+
+Request = Heartbeat | CallRequest | SyncMembers | AskEntries | AskOutcome
+Reply = HeartbeatEcho | CallAnswer | CallRefused | MemberList | Entries | Outcome
 Message = Hello | CancelCall | Request | Reply
