--- a/packages/endivebeam-node/src/endivebeam_node/_calls.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_calls.py
@@ -120,7 +120,7 @@
                 credits=call.retry_credits,
             )
         if call.semantics is Semantics.AT_MOST_ONCE:
-            return await self._run_once(call, self._serve_admitted)
+            return await self._run_once(call, self._admit, self._forward)
         return await self._serve_admitted(call)
 
     async def _serve_admitted(self, call: CallRequest) -> Outcome:
@@ -206,14 +206,16 @@
 
 
 def _is_move(outcome: CallRefused) -> bool:
-    reason = outcome.refusal.reason
-    return reason in (RefusalReason.DRAINING, RefusalReason.NO_TARGET)
+    refusal = outcome.refusal
+    if refusal.run is not RunStatus.NOT_RUN:
+        return False
+    return refusal.reason in (RefusalReason.DRAINING, RefusalReason.NO_TARGET)
 
 
 def _may_retry(call: CallRequest, outcome: CallRefused) -> bool:
     refusal = outcome.refusal
     if refusal.reason is RefusalReason.OVERLOADED:
-        return True
+        return refusal.run is RunStatus.NOT_RUN
     if refusal.reason is not RefusalReason.TARGET_FAILED:
         return False
     return call.semantics is Semantics.IDEMPOTENT
