--- /dev/null
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_shares.py
@@ -0,0 +1,147 @@
+"""One share in the memory of its holder: lease, buckets and answers."""
+
+from collections.abc import Iterator, Mapping, Sequence
+from enum import Enum
+
+import msgspec
+
+from endivebeam_model import AccountId, Contract
+
+from ._bucket import Bucket, BucketState
+from ._grants import Report
+from ._leases import HolderLease, Surroundings
+from ._placement import ShareId
+
+
+class GrantStatus(Enum):
+    """How a holder answers a request for tokens."""
+
+    GRANTED = "granted"
+    DECLINED = "declined"
+    STOPPED = "stopped"
+    NOT_HOLDER = "not_holder"
+
+
+class GrantAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of a holder; ``level`` is what remains in the bucket."""
+
+    status: GrantStatus
+    grant_id: int = 0
+    tokens: float = 0.0
+    level: float = 0.0
+
+
+class HeldShare:
+    """Buckets of the accounts of one share.
+
+    ``since`` is the time from which the accounts of this share are known to
+    have received nothing but what these buckets granted; it is None when they
+    never received anything before. A bucket is created on first use with what
+    would have flowed in since then, so a new holder starts with empty buckets.
+    """
+
+    def __init__(
+        self,
+        *,
+        share: ShareId,
+        slots: int,
+        epoch: int,
+        version: int,
+        lease: HolderLease,
+        since: float | None,
+    ) -> None:
+        self.share = share
+        self.epoch = epoch
+        self.version = version
+        self.lease = lease
+        self.since = since
+        self._slots = slots
+        self._buckets: dict[AccountId, Bucket] = {}
+
+    def answer(
+        self,
+        contract: Contract,
+        *,
+        need: float,
+        want: float,
+        reports: Sequence[Report],
+        grant_ids: Iterator[int],
+        around: Surroundings,
+        now: float,
+    ) -> GrantAnswer:
+        """Settle reports, then grant ``need`` to ``want`` tokens or decline."""
+        bucket = self._bucket(contract, now)
+        for report in reports:
+            bucket.settle(
+                report.grant_id, spent=report.spent, returned=report.returned, now=now
+            )
+        if not self.lease.may_grant(now, around):
+            return GrantAnswer(status=GrantStatus.STOPPED)
+        grant_id = next(grant_ids)
+        tokens = bucket.take(grant_id, need=need, want=want, now=now)
+        status = GrantStatus.GRANTED if tokens > 0 else GrantStatus.DECLINED
+        return GrantAnswer(
+            status=status, grant_id=grant_id, tokens=tokens, level=bucket.level
+        )
+
+    def adopt(self, contracts: Mapping[AccountId, Contract], now: float) -> None:
+        """Adopt changed contracts.
+
+        The bucket of a removed contract is kept until it is full again, so
+        that removing and writing a contract does not renew its burst.
+        """
+        for account, bucket in list(self._buckets.items()):
+            contract = contracts.get(account)
+            if contract is not None:
+                self._bucket(contract, now)
+            elif bucket.is_full(now):
+                del self._buckets[account]
+
+    def drop_full(self, now: float) -> None:
+        """Forget buckets that equal new ones, which bounds the memory."""
+        for account, bucket in list(self._buckets.items()):
+            fresh = self._fresh_level(bucket.rate, bucket.burst, now)
+            if fresh >= bucket.burst and bucket.is_full(now):
+                del self._buckets[account]
+
+    def export(self, now: float) -> dict[AccountId, BucketState]:
+        """Return the buckets for a planned handover."""
+        return {account: b.export(now) for account, b in self._buckets.items()}
+
+    def load(
+        self,
+        states: Mapping[AccountId, BucketState],
+        contracts: Mapping[AccountId, Contract],
+        grant_ids: Iterator[int],
+        now: float,
+    ) -> None:
+        """Continue with the buckets of the previous holder.
+
+        Its grants count as outstanding for their whole life. An account whose
+        contract is unknown here keeps its level as burst and does not refill.
+        """
+        for account, state in states.items():
+            contract = contracts.get(account)
+            total = state.level + state.outstanding
+            bucket = Bucket(rate=0.0, burst=total, level=state.level, now=now)
+            if contract is not None:
+                bucket.rate = contract.rate_per_s / self._slots
+                bucket.burst = contract.burst / self._slots
+                bucket.level = min(state.level, bucket.burst)
+            if state.outstanding > 0:
+                bucket.add_outstanding(next(grant_ids), state.outstanding, now)
+            self._buckets[account] = bucket
+
+    def _bucket(self, contract: Contract, now: float) -> Bucket:
+        rate = contract.rate_per_s / self._slots
+        burst = contract.burst / self._slots
+        bucket = self._buckets.get(contract.account)
+        if bucket is None:
+            level = self._fresh_level(rate, burst, now)
+            bucket = Bucket(rate=rate, burst=burst, level=level, now=now)
+            self._buckets[contract.account] = bucket
+        bucket.adopt(rate=rate, burst=burst, now=now)
+        return bucket
+
+    def _fresh_level(self, rate: float, burst: float, now: float) -> float:
+        return burst if self.since is None else min(burst, rate * (now - self.since))
--- /dev/null
+++ b/packages/endivebeam-limits/tests/test_bucket.py
@@ -0,0 +1,133 @@
+"""Tests of the holder's bucket and the requester's grant cache."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from endivebeam_limits import GRANT_LIFE_S, Bucket, GrantCache, HolderKey
+
+HOLDER = HolderKey(slot=0, token=1)
+SLACK = 1e-6
+
+
+def find_excess(spent: list[float], rate: float, burst: float) -> float:
+    """Return by how much the fullest window exceeds rate x time + burst."""
+    windows = (
+        (j - i + 1) - (burst + rate * (spent[j] - spent[i]))
+        for i in range(len(spent))
+        for j in range(i, len(spent))
+    )
+    return max(windows, default=0.0)
+
+
+class Requester:
+    def __init__(self, now: float) -> None:
+        self.cache = GrantCache(now=now)
+
+    def call(self, bucket: Bucket, grant_id: int, now: float, want: float) -> bool:
+        if self.cache.take(now):
+            return True
+        tokens = bucket.take(grant_id, need=self.cache.missing(now), want=want, now=now)
+        self.cache.add(HOLDER, grant_id=grant_id, tokens=tokens, asked_at=now)
+        return self.cache.take(now)
+
+    def report(self, bucket: Bucket, now: float) -> None:
+        for report in self.cache.reports(HOLDER):
+            bucket.settle(
+                report.grant_id, spent=report.spent, returned=report.returned, now=now
+            )
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["call", "call", "report", "return", "lower", "raise"]),
+        st.integers(0, 2),
+        st.sampled_from([0.0, 0.001, 0.05, 0.3, 1.0, 1.2]),
+        st.sampled_from([1.0, 3.0, 20.0]),
+    ),
+    max_size=60,
+)
+
+
+class TestWindows:
+    @given(
+        steps=STEPS,
+        rate=st.sampled_from([0.5, 3.0, 40.0]),
+        burst=st.sampled_from([0.7, 2.0, 9.5]),
+    )
+    def test_no_window_exceeds_rate_and_burst(
+        self, steps: list[tuple[str, int, float, float]], rate: float, burst: float
+    ):
+        """Guards against refill that counts a token twice while it is granted."""
+        bucket = Bucket(rate=rate, burst=burst, level=burst, now=0.0)
+        requesters = [Requester(0.0) for _ in range(3)]
+        spent, now = [], 0.0
+        for number, (action, who, pause, want) in enumerate(steps):
+            now += pause
+            requester = requesters[who]
+            match action:
+                case "call":
+                    if requester.call(bucket, number, now, want):
+                        spent.append(now)
+                case "report":
+                    requester.report(bucket, now)
+                case "return":
+                    requester.cache.return_all(now)
+                    requester.report(bucket, now)
+                case "lower":
+                    bucket.adopt(rate=rate, burst=burst / 2, now=now)
+                case "raise":
+                    bucket.adopt(rate=rate, burst=burst, now=now)
+            assert bucket.level + bucket.outstanding <= burst + SLACK
+        assert find_excess(spent, rate, burst) <= SLACK
+
+
+class TestBucket:
+    def test_outstanding_tokens_hold_back_the_refill(self):
+        """Guards against a second burst while the first one can still be spent."""
+        bucket = Bucket(rate=100.0, burst=8.0, level=8.0, now=0.0)
+        assert bucket.take(1, need=8.0, want=8.0, now=0.0) == 8.0
+        bucket.advance(1.0)
+        assert bucket.level == 0.0
+        bucket.advance(GRANT_LIFE_S + 1.0)
+        assert bucket.level == 8.0
+
+    def test_repeated_report_changes_nothing(self):
+        """Guards against room for refill that a repeated report makes twice."""
+        bucket = Bucket(rate=0.0, burst=8.0, level=8.0, now=0.0)
+        bucket.take(1, need=4.0, want=4.0, now=0.0)
+        for _ in range(3):
+            bucket.settle(1, spent=1.0, returned=1.0, now=0.0)
+        assert (bucket.level, bucket.outstanding) == (5.0, 2.0)
+
+    def test_lower_burst_cuts_the_level_at_once(self):
+        """Guards against a burst of the old contract after a change."""
+        bucket = Bucket(rate=1.0, burst=100.0, level=100.0, now=0.0)
+        bucket.adopt(rate=1.0, burst=10.0, now=0.0)
+        assert bucket.take(1, need=11.0, want=11.0, now=0.0) == 0.0
+        assert bucket.take(2, need=1.0, want=50.0, now=0.0) == 2.0
+
+
+class TestGrantCache:
+    def test_expired_tokens_are_not_spent(self):
+        """Guards against a paused node that spends what the holder wrote off."""
+        cache = GrantCache(now=0.0)
+        cache.add(HOLDER, grant_id=1, tokens=5.0, asked_at=0.0)
+        assert cache.take(0.999)
+        assert not cache.take(1.0)
+
+    def test_pieces_of_several_holders_make_one_token(self):
+        """Guards against an account whose burst per share is below one token."""
+        cache = GrantCache(now=0.0)
+        for slot in range(3):
+            cache.add(HolderKey(slot, 1), grant_id=1, tokens=1 / 3, asked_at=0.0)
+        assert cache.take(0.1)
+        assert not cache.take(0.1)
+
+    def test_steady_demand_asks_ahead_up_to_a_quarter_of_the_burst(self):
+        """Guards against one node that hoards the burst of an account."""
+        cache = GrantCache(now=0.0)
+        cache.burst_share = 40.0
+        for call in range(1000):
+            cache.count_demand(call / 200)
+        assert cache.target(5.0) == cache.want_ahead(5.0) == 10
+        assert cache.target(60.0) == 0
