Enforce rate and burst over the sum of all nodes

Calls took no rate token, so that a contract's rate was not enforced. Nodes now hold shares of each group of accounts under leases in the table and grant tokens to the nodes where calls enter. A call takes a cached token, else the holder of the own domain is asked, then the others. A refusal says rate_exceeded only when a reachable holder declined; otherwise overloaded or store_unavailable.

--- a/packages/endivebeam-limits/src/endivebeam_limits/_grants.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_grants.py
@@ -185,6 +185,10 @@
                 lot.left = 0.0
                 lot.changed_at = -math.inf
 
+    def is_empty(self) -> bool:
+        """Return whether no token and no report is left."""
+        return not self._lots
+
     def is_idle(self, now: float) -> bool:
         """Return whether the cache holds nothing and saw no recent demand."""
         return not self._lots and now - self._taken_at > 10 * DEMAND_WINDOW_S
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -4,6 +4,7 @@
 import secrets
 import signal
 import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import cast
@@ -21,7 +22,6 @@
 from endivebeam_http import Handler, ServerConnection
 from endivebeam_model import (
     Address,
-    Contract,
     DomainName,
     LogEntry,
     Member,
@@ -36,14 +36,17 @@
 from endivebeam_wire import (
     PROTOCOL_VERSION,
     AskEntries,
+    AskGrant,
     CallRequest,
     Entries,
+    HandOverShare,
     Heartbeat,
     HeartbeatEcho,
     Hello,
     LoadReport,
     MemberList,
     PeerStream,
+    RelayStore,
     Reply,
     Request,
     SyncMembers,
@@ -53,8 +56,11 @@
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
 from ._config import ConfigCopy
+from ._contacts import Contacts
+from ._fleet_view import FleetView
 from ._forward import TargetForwarder
 from ._inflight import InFlight
+from ._limits import RateLimits
 from ._members import Members
 from ._nested import LocalHandler
 from ._peers import Peers
@@ -90,7 +96,12 @@
         self.in_flight = InFlight()
         self.members = Members(local=_local_member(settings))
         self._client = httpx.AsyncClient(base_url=settings.platform_url, timeout=5.0)
-        self.table = HttpTable(client=self._client)
+        self.contacts = Contacts(
+            own_domain=DomainName(settings.domain), clock=time.monotonic
+        )
+        self.table = HttpTable(
+            client=self._client, on_answer=self.contacts.note_store_answer
+        )
         self.log = ConfigLog(table=self.table)
         self.peers = Peers(
             tasks=tasks,
@@ -122,8 +133,16 @@
             forward=self.forwarder.forward,
             run_once=self._run_once,
         )
+        self.rates = RateLimits(
+            settings=settings,
+            view=self._fleet_view(),
+            config=self.config,
+            peers=self.peers,
+            table=self.table,
+            tasks=tasks,
+        )
         self.callers = CallerHandler(
-            config=self.config, calls=self.calls, take_token=self._take_token
+            config=self.config, calls=self.calls, take_token=self.rates.take_token
         )
         self.local = LocalHandler(
             config=self.config,
@@ -148,6 +167,7 @@
             servers.start_soon(peer.serve, self.peers.accept)
             servers.start_soon(self._serve_admin, admin)
             servers.start_soon(self.sync.run)
+            servers.start_soon(self.rates.run)
             ports = Ports(
                 caller=_port_of(caller),
                 local=_port_of(local),
@@ -168,6 +188,7 @@
         self.members.update_local(state=MemberState.DRAINING)
         for connection in list(self._connections):
             connection.drain()
+        await self.rates.leave()
         with anyio.move_on_after(self.settings.drain_timeout_s):
             # Other nodes need time to learn of the drain before streams close.
             await anyio.sleep(1.0)
@@ -222,7 +243,10 @@
                 return _with_id(outcome, request.request_id)
             case Heartbeat(request_id=request_id):
                 return HeartbeatEcho(
-                    request_id=request_id, config_version=self.config.version
+                    request_id=request_id,
+                    config_version=self.config.version,
+                    store_age_ms=self.contacts.store_age_ms(),
+                    domain_ages_ms=self.contacts.domain_ages_ms(),
                 )
             case SyncMembers(request_id=request_id, members=members):
                 self.members.merge(members)
@@ -230,6 +254,8 @@
             case AskEntries(request_id=request_id, after=after):
                 entries = self.config.entries_after(after)
                 return Entries(request_id=request_id, entries=entries)
+            case AskGrant() | HandOverShare() | RelayStore():
+                return await self.rates.answer(request)
 
     def _hello(self) -> Hello:
         local = self.members.local
@@ -244,6 +270,9 @@
         return Heartbeat(request_id=request_id, config_version=self.config.version)
 
     def _on_echo(self, address: Address, echo: HeartbeatEcho) -> None:
+        for member in self.members.live():
+            if member.address == address:
+                self.contacts.note_echo(member.domain, echo)
         if echo.config_version > self.config.version:
             self._tasks.start_soon(self.sync.pull_entries, address, echo.config_version)
 
@@ -285,8 +314,13 @@
     async def _run_once(self, call: CallRequest, forward: Forward) -> Outcome:
         return await forward(call)
 
-    async def _take_token(self, contract: Contract) -> Refusal | None:
-        return None
+    def _fleet_view(self) -> FleetView:
+        return FleetView(
+            local=lambda: self.members.local,
+            live=self.members.live,
+            contact_ages=self.contacts.domain_ages,
+            store_age=self.contacts.store_age,
+        )
 
 
 def _local_member(settings: Settings) -> Member:
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_holder.py
@@ -0,0 +1,281 @@
+"""Shares that this node holds: grants, acquisition and handover."""
+
+import itertools
+import secrets
+from collections.abc import Callable, Mapping, Sequence
+
+import anyio
+from loguru import logger
+from returns.pipeline import is_successful
+from returns.result import Failure, Result
+
+from endivebeam_limits import (
+    BucketState,
+    GrantStatus,
+    HeldShare,
+    HolderLease,
+    LeaseTimes,
+    Report,
+    ShareId,
+    ShareLayout,
+    Surroundings,
+)
+from endivebeam_model import AccountId, Contract, Member, NodeId, OperationId
+from endivebeam_store import (
+    Committed,
+    ShareConflict,
+    ShareRecord,
+    ShareWrite,
+    Table,
+    Unavailable,
+    write_shares,
+)
+from endivebeam_wire import (
+    AskGrant,
+    BucketLevel,
+    Grant,
+    HandOverShare,
+    ShareTaken,
+    StreamFullError,
+    StreamLostError,
+)
+
+from ._fleet_view import AskPeer, FleetView
+from ._peers import UnreachableError
+from ._relays import relay_commit
+
+HANDOVER_TIMEOUT_S = 5.0
+
+# Evidence younger than this means that the store answers other nodes, so that
+# writing through one of them can help.
+RELAY_EVIDENCE_S = 5.0
+
+# The view of contacts is computed at most this often, because each grant
+# needs it.
+VIEW_AGE_S = 0.1
+
+
+class ShareHolder:
+    """Shares in the memory of this node.
+
+    ``token`` is random per process start and identifies the holder in rows and
+    grants, because a restarted node has the same id and incarnation.
+    ``known`` names the holders of other shares that this node has seen.
+    """
+
+    def __init__(
+        self,
+        *,
+        layout: ShareLayout,
+        times: LeaseTimes,
+        view: FleetView,
+        table: Table,
+        ask: AskPeer,
+        contracts: Callable[[], Mapping[AccountId, Contract]],
+        clock: Callable[[], float],
+    ) -> None:
+        self.layout = layout
+        self.times = times
+        self.view = view
+        self.clock = clock
+        self.token = secrets.randbits(62) + 1
+        self.held: dict[ShareId, HeldShare] = {}
+        self.known: dict[ShareId, NodeId] = {}
+        self.writing = anyio.Lock()
+        self.draining = False
+        self._table = table
+        self._ask = ask
+        self._contracts = contracts
+        self._grant_ids = itertools.count(1)
+        self._acquiring: set[ShareId] = set()
+        self._around: Surroundings | None = None
+        self._around_at = 0.0
+
+    def answer(self, ask: AskGrant) -> Grant:
+        """Answer a request for tokens."""
+        share_id = ShareId(self.layout.group_of(ask.account), ask.slot)
+        share = self.held.get(share_id)
+        contract = self._contracts().get(ask.account)
+        if share is None:
+            return Grant(
+                request_id=ask.request_id,
+                status=GrantStatus.NOT_HOLDER.value,
+                holder=self.known.get(share_id, NodeId("")),
+            )
+        if contract is None:
+            return Grant(request_id=ask.request_id, status=GrantStatus.STOPPED.value)
+        reports = ask.reports if ask.token == self.token else []
+        now = self.clock()
+        found = share.answer(
+            contract,
+            need=ask.need,
+            want=ask.want,
+            reports=[Report(r.grant_id, r.spent, r.returned) for r in reports],
+            grant_ids=self._grant_ids,
+            around=self.surroundings(now),
+            now=now,
+        )
+        return Grant(
+            request_id=ask.request_id,
+            status=found.status.value,
+            grant_id=found.grant_id,
+            tokens=found.tokens,
+            level=found.level,
+            token=self.token,
+        )
+
+    def adopt(self) -> None:
+        """Adopt the contracts that are in force now."""
+        now = self.clock()
+        for share in self.held.values():
+            share.adopt(self._contracts(), now)
+
+    def surroundings(self, now: float) -> Surroundings:
+        """Return the ages of contact, at most a tenth of a second old."""
+        if self._around is None or now - self._around_at > VIEW_AGE_S:
+            self._around = Surroundings(
+                own_domain=self.view.local().domain,
+                domains=self.layout.domains,
+                contact_ages=self.view.contact_ages(),
+                store_age_s=self.view.store_age(),
+            )
+            self._around_at = now
+        return self._around
+
+    async def commit(
+        self, writes: Sequence[ShareWrite]
+    ) -> Result[Committed, ShareConflict | Unavailable]:
+        """Write share rows, through another node when the store answers only it."""
+        op_id = OperationId(secrets.token_hex(12))
+        result = await write_shares(self._table.commit, writes, op_id)
+        age = self.view.store_age()
+        live = self.view.live()
+        match result:
+            case Failure(Unavailable()) if live and age is not None:
+                if age > RELAY_EVIDENCE_S:
+                    return result
+                member = secrets.choice(live)
+                logger.info("limits: writes leases through {}", member.node_id)
+                return await write_shares(
+                    lambda t: relay_commit(self._ask, member, t), writes, op_id
+                )
+        return result
+
+    async def acquire(
+        self,
+        share_id: ShareId,
+        *,
+        expected: int,
+        epoch: int,
+        since: float | None,
+        buckets: Sequence[BucketLevel] = (),
+    ) -> bool:
+        """Write the row with this node as holder; grant only if that succeeds."""
+        if share_id in self.held or share_id in self._acquiring:
+            return False
+        sent_at = self.clock()
+        write = self.make_write(share_id, expected, epoch)
+        self._acquiring.add(share_id)
+        try:
+            if not is_successful(await self.commit([write])):
+                return False
+        finally:
+            self._acquiring.discard(share_id)
+        share = HeldShare(
+            share=share_id,
+            slots=self.layout.slots,
+            epoch=epoch,
+            version=expected + 1,
+            lease=HolderLease(times=self.times, sent_at=sent_at),
+            since=since,
+        )
+        states = {
+            b.account: BucketState(level=b.level, outstanding=b.outstanding)
+            for b in buckets
+        }
+        share.load(states, self._contracts(), self._grant_ids, self.clock())
+        self.held[share_id] = share
+        logger.info("limits: holds share {} in epoch {}", share_id, epoch)
+        return True
+
+    async def take_over(self, message: HandOverShare) -> ShareTaken:
+        """Take a share that its holder hands over, if the row can be written."""
+        share_id = ShareId(message.group, message.slot)
+        taken = False
+        if not self.draining:
+            since = None
+            if message.age_ms >= 0:
+                since = self.clock() - message.age_ms / 1000
+            taken = await self.acquire(
+                share_id,
+                expected=message.version,
+                epoch=message.epoch + 1,
+                since=since,
+                buckets=message.buckets,
+            )
+        return ShareTaken(request_id=message.request_id, taken=taken)
+
+    async def hand_over(self, share_id: ShareId, node_id: NodeId) -> bool:
+        """Hand one share to a node; return whether it holds the share now.
+
+        This holder stops first. Unless the other one has taken the share,
+        granting resumes only after a renewal, which fails if the other one's
+        write took effect.
+        """
+        member = self.view.find(node_id)
+        async with self.writing:
+            share = self.held.get(share_id)
+            if member is None or share is None:
+                return False
+            share.lease.stop()
+            if not await self._send_share(member, share):
+                return False
+            self.drop(share, node_id)
+            logger.info("limits: share {} handed over to {}", share_id, node_id)
+            return True
+
+    def drop(self, share: HeldShare, holder: NodeId) -> None:
+        """Forget a share that another node holds."""
+        self.held.pop(share.share, None)
+        self.known[share.share] = holder
+
+    def make_write(self, share_id: ShareId, expected: int, epoch: int) -> ShareWrite:
+        """Return a write of a row with this node as holder."""
+        local = self.view.local()
+        return ShareWrite(
+            group=share_id.group,
+            slot=share_id.slot,
+            expected=expected,
+            record=ShareRecord(
+                holder=local.node_id,
+                incarnation=local.incarnation,
+                token=self.token,
+                epoch=epoch,
+            ),
+        )
+
+    async def _send_share(self, member: Member, share: HeldShare) -> bool:
+        now = self.clock()
+        buckets = [
+            BucketLevel(account, state.level, state.outstanding)
+            for account, state in share.export(now).items()
+        ]
+        age_ms = -1 if share.since is None else int((now - share.since) * 1000)
+
+        def build(request_id: int) -> HandOverShare:
+            return HandOverShare(
+                request_id=request_id,
+                group=share.share.group,
+                slot=share.share.slot,
+                epoch=share.epoch,
+                version=share.version,
+                age_ms=age_ms,
+                buckets=buckets,
+            )
+
+        try:
+            with anyio.fail_after(HANDOVER_TIMEOUT_S):
+                reply = await self._ask(member, build)
+        except (UnreachableError, StreamLostError, StreamFullError, TimeoutError):
+            return False
+        return isinstance(reply, ShareTaken) and reply.taken
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_leases.py
@@ -0,0 +1,196 @@
+"""Keeps share leases: renewal, takeover and moves to the preferred holder."""
+
+from collections.abc import Awaitable, Callable, Sequence
+
+import anyio
+from loguru import logger
+from returns.result import Failure, Success
+
+from endivebeam_limits import (
+    Candidate,
+    HeldShare,
+    ShareId,
+    TakeoverWatch,
+    rank_holders,
+)
+from endivebeam_model import NodeId
+from endivebeam_store import ShareConflict, StoredShare, Table, read_share
+
+from ._holder import ShareHolder
+
+CHECK_PERIOD_S = 0.5
+RENEW_PERIOD_S = 1.0
+WATCH_PERIOD_S = 1.0
+RENEW_ATTEMPTS = 3
+MAX_READS = 8
+
+# A share moves only to a node that has been preferred for this long, so that
+# shares do not follow every change of a forming member table.
+MOVE_DELAY_S = 10.0
+
+
+class LeaseKeeper:
+    """Periodic work on the shares of one node."""
+
+    def __init__(self, *, holder: ShareHolder, table: Table) -> None:
+        self._holder = holder
+        self._table = table
+        self._watches: dict[ShareId, TakeoverWatch] = {}
+        self._moves: dict[ShareId, tuple[NodeId, float]] = {}
+        self._candidates: list[Candidate] = []
+        self._preferred: dict[ShareId, NodeId] = {}
+
+    async def run(self) -> None:
+        """Renew, watch and move shares until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_repeat, CHECK_PERIOD_S, self.check)
+            tasks.start_soon(_repeat, RENEW_PERIOD_S, self.renew)
+            tasks.start_soon(_repeat, WATCH_PERIOD_S, self.watch)
+            tasks.start_soon(_repeat, WATCH_PERIOD_S, self.move)
+
+    async def check(self) -> None:
+        """Check the leases, so that a pause or a loss of contact is noticed."""
+        now = self._holder.clock()
+        around = self._holder.surroundings(now)
+        for share in self._holder.held.values():
+            share.lease.may_grant(now, around)
+
+    async def renew(self) -> None:
+        """Renew all leases in one transaction when one of them is due."""
+        held = self._holder.held
+        async with self._holder.writing:
+            for _ in range(RENEW_ATTEMPTS):
+                now = self._holder.clock()
+                if not any(s.lease.is_renewal_due(now) for s in held.values()):
+                    return
+                if not await self._renew_once(list(held.values()), now):
+                    return
+
+    async def watch(self) -> None:
+        """Read the rows of shares that this node should hold; take vacant ones."""
+        wanted = set() if self._holder.draining else self._find_wanted()
+        for share_id in set(self._watches) - wanted:
+            del self._watches[share_id]
+        limiter = anyio.CapacityLimiter(MAX_READS)
+        async with anyio.create_task_group() as tasks:
+            for share_id in sorted(wanted):
+                tasks.start_soon(self._watch_share, share_id, limiter)
+
+    async def move(self) -> None:
+        """Hand shares to the nodes that have been preferred for a while."""
+        now = self._holder.clock()
+        local = self._holder.view.local().node_id
+        for share_id in list(self._holder.held):
+            preferred = self._prefer(share_id)
+            if preferred in (None, local):
+                self._moves.pop(share_id, None)
+                continue
+            node_id, since = self._moves.setdefault(share_id, (preferred, now))
+            if node_id != preferred:
+                self._moves[share_id] = (preferred, now)
+            elif now - since >= MOVE_DELAY_S:
+                del self._moves[share_id]
+                await self._holder.hand_over(share_id, preferred)
+
+    async def leave(self) -> None:
+        """Hand all shares over before a planned stop."""
+        self._holder.draining = True
+        for share_id in list(self._holder.held):
+            ranked = self._rank(share_id)
+            for node_id in [n for n in ranked if self._holder.view.find(n)][:2]:
+                if await self._holder.hand_over(share_id, node_id):
+                    break
+
+    async def _renew_once(self, shares: Sequence[HeldShare], sent_at: float) -> bool:
+        """Return whether another attempt is useful now."""
+        writes = [
+            self._holder.make_write(share.share, share.version, share.epoch)
+            for share in shares
+        ]
+        match await self._holder.commit(writes):
+            case Success(_):
+                for share in shares:
+                    share.version += 1
+                    share.lease.renew(sent_at)
+                    share.drop_full(sent_at)
+                return False
+            case Failure(ShareConflict(current=current)):
+                self._resolve(current)
+                return bool(current)
+        return False
+
+    def _resolve(self, current: Sequence[StoredShare]) -> None:
+        for stored in current:
+            share = self._holder.held.get(ShareId(stored.group, stored.slot))
+            if share is None:
+                continue
+            own = stored.record.token == self._holder.token
+            if own and stored.record.epoch == share.epoch:
+                # An earlier renewal took effect although its answer was lost.
+                share.version = stored.version
+                continue
+            logger.warning("limits: another node holds share {}", share.share)
+            self._holder.drop(share, stored.record.holder)
+
+    def _find_wanted(self) -> set[ShareId]:
+        local = self._holder.view.local()
+        domains = self._holder.layout.domains
+        live = {c.domain for c in self._holder.view.candidates()}
+        return {
+            share_id
+            for share_id in self._holder.layout.shares()
+            if share_id not in self._holder.held
+            and (domains[share_id.slot] == local.domain)
+            | (domains[share_id.slot] not in live)
+            and self._prefer(share_id) == local.node_id
+        }
+
+    async def _watch_share(
+        self, share_id: ShareId, limiter: anyio.CapacityLimiter
+    ) -> None:
+        async with limiter:
+            answer = await read_share(self._table, share_id.group, share_id.slot)
+        holder = self._holder
+        now = holder.clock()
+        watch = self._watches.setdefault(share_id, TakeoverWatch(times=holder.times))
+        around = holder.surroundings(now)
+        match answer:
+            case Success(StoredShare(version=version, record=record)):
+                holder.known[share_id] = record.holder
+                watch.observe(now, version, around)
+                # A row with the own token that is not held was written by an
+                # acquisition whose answer was lost; nobody grants from it.
+                if watch.may_take(now) or record.token == holder.token:
+                    await holder.acquire(
+                        share_id, expected=version, epoch=record.epoch + 1, since=now
+                    )
+            case Success(None):
+                watch.observe(now, 0, around)
+                domain = holder.layout.domains[share_id.slot]
+                own_slot = domain == holder.view.local().domain
+                if watch.may_create(now, own_slot=own_slot):
+                    await holder.acquire(share_id, expected=0, epoch=1, since=None)
+            case _:
+                watch.observe(now, None, around)
+
+    def _prefer(self, share_id: ShareId) -> NodeId | None:
+        candidates = self._holder.view.candidates()
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._preferred.clear()
+        if share_id not in self._preferred:
+            ranked = self._rank(share_id)
+            if not ranked:
+                return None
+            self._preferred[share_id] = ranked[0]
+        return self._preferred[share_id]
+
+    def _rank(self, share_id: ShareId) -> Sequence[NodeId]:
+        candidates = self._holder.view.candidates()
+        return rank_holders(share_id, self._holder.layout, candidates)
+
+
+async def _repeat(period_s: float, step: Callable[[], Awaitable[None]]) -> None:
+    while True:
+        await step()
+        await anyio.sleep(period_s)
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_limits.py
@@ -0,0 +1,109 @@
+"""Rate limits of one node: the shares it holds and the tokens its calls take."""
+
+import time
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+
+from endivebeam_limits import LeaseTimes, ShareLayout
+from endivebeam_model import Contract, DomainName, Member, Refusal
+from endivebeam_store import Table
+from endivebeam_wire import (
+    AskGrant,
+    Grant,
+    HandOverShare,
+    RelayResult,
+    RelayStore,
+    Reply,
+    Request,
+    ShareTaken,
+)
+
+from ._config import ConfigCopy
+from ._fleet_view import FleetView
+from ._holder import ShareHolder
+from ._leases import LeaseKeeper
+from ._peers import Peers
+from ._rates import Rates
+from ._relays import serve_relay
+from ._settings import Settings
+
+LEAVE_TIMEOUT_S = 5.0
+
+
+class RateLimits:
+    """Composes the holder of shares, its leases and the requester of tokens."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        view: FleetView,
+        config: ConfigCopy,
+        peers: Peers,
+        table: Table,
+        tasks: anyio.abc.TaskGroup,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._peers = peers
+        self._table = table
+        self._holder = ShareHolder(
+            layout=share_layout(settings),
+            times=lease_times(settings),
+            view=view,
+            table=table,
+            ask=self._ask,
+            contracts=lambda: config.snapshot.contracts,
+            clock=clock,
+        )
+        self._leases = LeaseKeeper(holder=self._holder, table=table)
+        self._rates = Rates(holder=self._holder, ask=self._ask, tasks=tasks)
+        config.listen(lambda _: self._holder.adopt())
+
+    async def run(self) -> None:
+        """Keep leases and report tokens until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._leases.run)
+            tasks.start_soon(self._rates.run)
+
+    async def take_token(self, contract: Contract) -> Refusal | None:
+        """Take one rate token; return a refusal when there is none."""
+        return await self._rates.take_token(contract)
+
+    async def answer(
+        self, request: AskGrant | HandOverShare | RelayStore
+    ) -> Grant | ShareTaken | RelayResult:
+        """Answer a request of another node."""
+        match request:
+            case AskGrant():
+                return self._holder.answer(request)
+            case HandOverShare():
+                return await self._holder.take_over(request)
+            case RelayStore():
+                return await serve_relay(self._table, request)
+
+    async def leave(self) -> None:
+        """Hand all shares over before a planned stop."""
+        with anyio.move_on_after(LEAVE_TIMEOUT_S):
+            await self._leases.leave()
+
+    async def _ask(self, member: Member, build: Callable[[int], Request]) -> Reply:
+        stream = await self._peers.connect(member.address)
+        return await stream.ask(build(stream.next_id()))
+
+
+def share_layout(settings: Settings) -> ShareLayout:
+    """Return the layout of shares: one slot per failure domain."""
+    domains = settings.domains or [settings.domain]
+    return ShareLayout(
+        groups=settings.share_groups,
+        domains=tuple(DomainName(name) for name in sorted(domains)),
+    )
+
+
+def lease_times(settings: Settings) -> LeaseTimes:
+    """Return the lease times; a short time to live is renewed more often."""
+    default = LeaseTimes()
+    scale = min(1.0, settings.share_ttl_s / default.ttl_s)
+    return LeaseTimes(ttl_s=settings.share_ttl_s, renew_s=default.renew_s * scale)
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_rates.py
@@ -0,0 +1,386 @@
+"""Rate tokens of client accounts: from the local cache, else from the holders."""
+
+import itertools
+import math
+from collections.abc import Iterator, Sequence
+
+import anyio
+import anyio.abc
+
+from endivebeam_limits import (
+    GrantCache,
+    GrantStatus,
+    HolderKey,
+    ShareId,
+    rank_holders,
+)
+from endivebeam_model import (
+    AccountId,
+    Contract,
+    NodeId,
+    Refusal,
+    RefusalReason,
+)
+from endivebeam_wire import (
+    AskGrant,
+    Grant,
+    GrantReport,
+    StreamFullError,
+    StreamLostError,
+)
+
+from ._fleet_view import AskPeer
+from ._holder import ShareHolder
+from ._peers import UnreachableError
+
+ASK_TIMEOUT_S = 0.5
+OBTAIN_TIMEOUT_S = 2.0
+REPORT_PERIOD_S = 0.02
+RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 3600.0
+MAX_HOPS = 3
+MIN_PIECE = 1e-3
+
+# A share without a reachable holder is not asked again for this long.
+SKIP_S = 0.25
+
+# Without evidence this young the store counts as down in refusals.
+STORE_EVIDENCE_S = 10.0
+
+
+class _Slot:
+    """Where a share is held, as this node knows it."""
+
+    __slots__ = ("location", "skip_until", "token")
+
+    def __init__(self) -> None:
+        self.location: NodeId | None = None
+        self.skip_until = -math.inf
+        self.token = 0
+
+
+class _Account:
+    """Cached tokens of one account and the last known levels of its buckets."""
+
+    __slots__ = (
+        "burst_share",
+        "cache",
+        "contract",
+        "group",
+        "levels",
+        "lock",
+        "order",
+        "rate_share",
+        "waiting",
+    )
+
+    def __init__(self, *, group: int, order: Sequence[int], now: float) -> None:
+        self.cache = GrantCache(now=now)
+        self.group = group
+        self.order = order
+        self.levels: dict[int, tuple[float, float]] = {}
+        self.lock = anyio.Lock()
+        self.waiting = 0
+        self.contract: Contract | None = None
+        self.rate_share = 0.0
+        self.burst_share = 0.0
+
+    def adopt(self, contract: Contract, slots: int) -> None:
+        """Take the contract that is in force."""
+        self.contract = contract
+        self.rate_share = contract.rate_per_s / slots
+        self.burst_share = contract.burst / slots
+        self.cache.burst_share = self.burst_share
+
+    def expect(self, slot: int, now: float) -> float:
+        """Return the level that a bucket has unless other nodes took from it."""
+        known = self.levels.get(slot)
+        if known is None:
+            return math.inf
+        level, at = known
+        return min(self.burst_share, level + self.rate_share * (now - at))
+
+
+class Rates:
+    """Takes one token per call that enters from outside.
+
+    A call with a cached token does not wait. Otherwise the holder in the own
+    failure domain is asked first and then the others. Holders whose bucket is
+    known to be too low are not asked, so that calls above the rate cost no
+    messages.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: ShareHolder,
+        ask: AskPeer,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        self._holder = holder
+        self._layout = holder.layout
+        self._view = holder.view
+        self._clock = holder.clock
+        self._ask = ask
+        self._tasks = tasks
+        self._accounts: dict[AccountId, _Account] = {}
+        self._active: dict[AccountId, _Account] = {}
+        self._slots: dict[ShareId, _Slot] = {}
+        self._local_ids = itertools.count(1)
+
+    async def take_token(self, contract: Contract) -> Refusal | None:
+        """Take one token; return a refusal with its cause when there is none."""
+        now = self._clock()
+        account = self._accounts.get(contract.account)
+        if account is None:
+            account = self._open(contract.account, now)
+        if account.contract is not contract:
+            account.adopt(contract, self._layout.slots)
+        cache = account.cache
+        cache.count_demand(now)
+        if not cache.take(now):
+            return await self._wait_for_token(account, contract)
+        if not account.lock.locked() and cache.want_ahead(now):
+            self._tasks.start_soon(self._prefetch, account, contract)
+        return None
+
+    async def run(self) -> None:
+        """Report spent tokens and return unused ones until cancelled."""
+        while True:
+            await anyio.sleep(REPORT_PERIOD_S)
+            self._report(self._clock())
+
+    def _open(self, account_id: AccountId, now: float) -> _Account:
+        for known, account in list(self._accounts.items()):
+            if account.cache.is_idle(now) and not account.waiting:
+                del self._accounts[known]
+        group = self._layout.group_of(account_id)
+        order = self._layout.order_slots(self._view.local().domain, group)
+        account = _Account(group=group, order=order, now=now)
+        self._accounts[account_id] = account
+        return account
+
+    async def _wait_for_token(
+        self, account: _Account, contract: Contract
+    ) -> Refusal | None:
+        account.waiting += 1
+        try:
+            async with account.lock:
+                if account.cache.take(self._clock()):
+                    return None
+                with anyio.move_on_after(OBTAIN_TIMEOUT_S):
+                    await self._obtain(account, contract.account)
+                if account.cache.take(self._clock()):
+                    return None
+                return self._refuse(account)
+        finally:
+            account.waiting -= 1
+
+    async def _prefetch(self, account: _Account, contract: Contract) -> None:
+        if account.lock.locked():
+            return
+        async with account.lock:
+            want = account.cache.want_ahead(self._clock())
+            if want:
+                await self._obtain_whole(account, contract.account, 1.0, want)
+
+    async def _obtain(self, account: _Account, account_id: AccountId) -> None:
+        now = self._clock()
+        need = account.cache.missing(now)
+        want = max(account.cache.target(now), account.waiting, need)
+        if await self._obtain_whole(account, account_id, need, want):
+            return
+        await self._obtain_pieces(account, account_id)
+
+    async def _obtain_whole(
+        self, account: _Account, account_id: AccountId, need: float, want: float
+    ) -> bool:
+        """Ask one holder after the other for a whole token."""
+        for slot in account.order:
+            now = self._clock()
+            if self._is_skipped(account, slot, now) or account.expect(slot, now) < need:
+                continue
+            if await self._ask_slot(account, account_id, slot, need, want):
+                return True
+        return False
+
+    async def _obtain_pieces(self, account: _Account, account_id: AccountId) -> None:
+        """Put one token together when no single bucket has a whole one."""
+        now = self._clock()
+        slots = self._reachable(account, now)
+        if sum(account.expect(slot, now) for slot in slots) < account.cache.missing(
+            now
+        ):
+            return
+        slots.sort(key=lambda slot: account.expect(slot, now), reverse=True)
+        for slot in slots:
+            missing = account.cache.missing(self._clock())
+            piece = min(account.expect(slot, self._clock()), missing)
+            if piece > MIN_PIECE or piece == missing:
+                await self._ask_slot(account, account_id, slot, piece, piece)
+            if account.cache.missing(self._clock()) <= 0:
+                return
+        # Pieces that make no whole token must not keep others from one.
+        account.cache.return_all(self._clock())
+
+    async def _ask_slot(
+        self,
+        account: _Account,
+        account_id: AccountId,
+        slot: int,
+        need: float,
+        want: float,
+    ) -> bool:
+        share_id = ShareId(account.group, slot)
+        asked_at = self._clock()
+        grant = await self._find_holder(share_id, account, account_id, need, want)
+        now = self._clock()
+        if grant is None:
+            self._slot(share_id).skip_until = now + SKIP_S
+            account.levels.pop(slot, None)
+            return False
+        account.levels[slot] = (grant.level, now)
+        account.cache.add(
+            HolderKey(slot, grant.token),
+            grant_id=grant.grant_id,
+            tokens=grant.tokens,
+            asked_at=asked_at,
+        )
+        self._active[account_id] = account
+        return grant.tokens > 0
+
+    async def _find_holder(
+        self,
+        share_id: ShareId,
+        account: _Account,
+        account_id: AccountId,
+        need: float,
+        want: float,
+    ) -> Grant | None:
+        """Return the answer of the holder, or None when none was reached."""
+        slot = self._slot(share_id)
+        tried: set[NodeId] = set()
+        following = self._follow(share_id, slot)
+        node_id = next(following, None)
+        while node_id is not None and len(tried) < MAX_HOPS:
+            tried.add(node_id)
+            ask = self._build(account, account_id, share_id.slot, need, want)
+            grant = await self._send(node_id, ask)
+            status = None if grant is None else grant.status
+            if grant is not None and status in ("granted", "declined"):
+                slot.location = node_id
+                slot.token = grant.token
+                return grant
+            if status == GrantStatus.STOPPED.value:
+                return None
+            slot.location = None
+            hint = None if grant is None else grant.holder
+            if hint and hint not in tried:
+                node_id = hint
+            else:
+                node_id = next((n for n in following if n not in tried), None)
+        return None
+
+    def _follow(self, share_id: ShareId, slot: _Slot) -> Iterator[NodeId]:
+        if slot.location is not None:
+            yield slot.location
+        yield from rank_holders(share_id, self._layout, self._view.candidates())
+
+    def _build(
+        self,
+        account: _Account,
+        account_id: AccountId,
+        slot: int,
+        need: float,
+        want: float,
+    ) -> AskGrant:
+        token = self._slot(ShareId(account.group, slot)).token
+        reports = account.cache.reports(HolderKey(slot, token)) if token else []
+        return AskGrant(
+            request_id=0,
+            account=account_id,
+            slot=slot,
+            need=need,
+            want=want,
+            token=token,
+            reports=[GrantReport(r.grant_id, r.spent, r.returned) for r in reports],
+        )
+
+    async def _send(self, node_id: NodeId, ask: AskGrant) -> Grant | None:
+        if node_id == self._view.local().node_id:
+            return self._holder.answer(ask)
+        member = self._view.find(node_id)
+        if member is None:
+            return None
+
+        def build(request_id: int) -> AskGrant:
+            return AskGrant(
+                request_id=request_id,
+                account=ask.account,
+                slot=ask.slot,
+                need=ask.need,
+                want=ask.want,
+                token=ask.token,
+                reports=ask.reports,
+            )
+
+        try:
+            with anyio.fail_after(ASK_TIMEOUT_S):
+                reply = await self._ask(member, build)
+        except (UnreachableError, StreamLostError, StreamFullError, TimeoutError):
+            return None
+        return reply if isinstance(reply, Grant) else None
+
+    def _report(self, now: float) -> None:
+        for account_id, account in list(self._active.items()):
+            for key in account.cache.reports_due(now):
+                share_id = ShareId(account.group, key.slot)
+                slot = self._slot(share_id)
+                if slot.token != key.token or slot.location is None:
+                    account.cache.reports(key)
+                    continue
+                ask = self._build(account, account_id, key.slot, 0.0, 0.0)
+                self._tasks.start_soon(self._send, slot.location, ask)
+            if account.cache.is_empty():
+                del self._active[account_id]
+
+    def _refuse(self, account: _Account) -> Refusal:
+        now = self._clock()
+        slots = self._reachable(account, now)
+        if not slots:
+            return self._refuse_unreachable()
+        missing = account.cache.missing(now)
+        missing -= sum(account.expect(slot, now) for slot in slots)
+        rate = account.rate_share * len(slots)
+        wait_s = missing / rate if rate > 0 else MAX_RETRY_AFTER_S
+        return Refusal(
+            reason=RefusalReason.RATE_EXCEEDED,
+            message="the rate and burst of the contract are used up; retry after "
+            "the given time, or ask the operator for a higher rate",
+            retry_after_s=min(MAX_RETRY_AFTER_S, max(0.001, wait_s)),
+        )
+
+    def _refuse_unreachable(self) -> Refusal:
+        age = self._view.store_age()
+        reason = RefusalReason.OVERLOADED
+        message = "no node that counts this account's rate can be reached; retry"
+        if age is None or age > STORE_EVIDENCE_S:
+            reason = RefusalReason.STORE_UNAVAILABLE
+            message = "the rate cannot be counted while the store is down; retry"
+        return Refusal(reason=reason, message=message, retry_after_s=RETRY_AFTER_S)
+
+    def _reachable(self, account: _Account, now: float) -> list[int]:
+        return [
+            slot
+            for slot in account.order
+            if slot in account.levels and not self._is_skipped(account, slot, now)
+        ]
+
+    def _is_skipped(self, account: _Account, slot: int, now: float) -> bool:
+        return self._slot(ShareId(account.group, slot)).skip_until > now
+
+    def _slot(self, share_id: ShareId) -> _Slot:
+        slot = self._slots.get(share_id)
+        if slot is None:
+            slot = self._slots[share_id] = _Slot()
+        return slot
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_relays.py
@@ -0,0 +1,79 @@
+"""Lease renewals that reach the table through another node."""
+
+import anyio
+from returns.result import Failure, Result, Success
+
+from endivebeam_model import Member
+from endivebeam_store import (
+    SHARE_PREFIX,
+    CommitError,
+    Committed,
+    Condition,
+    Conflict,
+    Put,
+    Row,
+    Table,
+    Transaction,
+    Unavailable,
+)
+from endivebeam_wire import (
+    RelayedRow,
+    RelayResult,
+    RelayStore,
+    StreamFullError,
+    StreamLostError,
+)
+
+from ._fleet_view import AskPeer
+from ._peers import UnreachableError
+
+RELAY_TIMEOUT_S = 2.0
+
+
+async def relay_commit(
+    ask: AskPeer, member: Member, transaction: Transaction
+) -> Result[Committed, CommitError]:
+    """Apply a transaction on share rows through a node that reaches the table."""
+    versions = {c.key: c.version for c in transaction.conditions}
+
+    def build(request_id: int) -> RelayStore:
+        rows = [RelayedRow(p.key, p.value, versions[p.key]) for p in transaction.puts]
+        return RelayStore(request_id=request_id, op_id=transaction.op_id, rows=rows)
+
+    try:
+        with anyio.fail_after(RELAY_TIMEOUT_S):
+            reply = await ask(member, build)
+    except UnreachableError:
+        return Failure(Unavailable(message="the relaying node is not reachable"))
+    except (StreamLostError, StreamFullError, TimeoutError):
+        message = "the relaying node did not answer"
+        return Failure(Unavailable(message=message, maybe_applied=True))
+    match reply:
+        case RelayResult(outcome="committed"):
+            return Success(Committed(op_id=transaction.op_id))
+        case RelayResult(outcome="conflict", rows=rows):
+            return Failure(Conflict(rows=tuple(_to_row(row) for row in rows)))
+    message = "the relaying node does not reach the table either"
+    return Failure(Unavailable(message=message, maybe_applied=True))
+
+
+async def serve_relay(table: Table, message: RelayStore) -> RelayResult:
+    """Apply another node's writes of share rows; other rows are not relayed."""
+    transaction = Transaction(
+        op_id=message.op_id,
+        conditions=tuple(Condition(key=r.key, version=r.version) for r in message.rows),
+        puts=tuple(Put(key=r.key, value=r.value) for r in message.rows),
+    )
+    outcome, rows = "unavailable", []
+    if message.rows and all(r.key.startswith(SHARE_PREFIX) for r in message.rows):
+        match await table.commit(transaction):
+            case Success(_):
+                outcome = "committed"
+            case Failure(Conflict(rows=current)):
+                outcome = "conflict"
+                rows = [RelayedRow(r.key, r.value, r.version, r.op_id) for r in current]
+    return RelayResult(request_id=message.request_id, outcome=outcome, rows=rows)
+
+
+def _to_row(row: RelayedRow) -> Row:
+    return Row(key=row.key, value=row.value, version=row.version, op_id=row.op_id)
--- a/packages/endivebeam-node/src/endivebeam_node/_settings.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_settings.py
@@ -29,6 +29,10 @@
 
     A port of 0 lets the kernel choose; the chosen port is logged and, with
     ``ports_file``, written to a file as JSON.
+
+    ``domains`` lists all failure domains of the fleet, by default only the own
+    one. It and ``share_groups`` must be equal on all nodes: they determine how
+    rates are split. ``share_ttl_s`` is the time to live of a share's lease.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -46,6 +50,9 @@
     operators: list[Operator] = []
     ports_file: Path | None = None
     log_level: str = "INFO"
+    domains: list[str] = []
+    share_groups: int = Field(default=8, ge=1, le=4096)
+    share_ttl_s: float = Field(default=60.0, ge=1, le=86400)
     drain_timeout_s: float = Field(default=30.0, gt=0, le=600)
 
 
--- a/packages/endivebeam-standins/src/endivebeam_standins/_fleet.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_fleet.py
@@ -19,6 +19,7 @@
 
 from ._ports import Port
 
+DOMAINS = ("domain-a", "domain-b", "domain-c")
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
 POLL_PERIOD_S = 0.02
@@ -188,6 +189,7 @@
             "node_id": name,
             "region": region,
             "domain": domain,
+            "domains": list(DOMAINS),
             "platform_url": self.platform_url,
             "operators": [{"name": "demo", "token_sha256": digest}],
             "ports_file": str(ports_file),
--- a/packages/endivebeam-store/src/endivebeam_store/__init__.py
+++ b/packages/endivebeam-store/src/endivebeam_store/__init__.py
@@ -14,10 +14,21 @@
     Unavailable,
 )
 from ._seeds import SEEDS_PER_DOMAIN, Seed, read_seeds, write_seed
+from ._shares import (
+    SHARE_PREFIX,
+    ShareConflict,
+    ShareRecord,
+    ShareWrite,
+    StoredShare,
+    read_share,
+    share_key,
+    write_shares,
+)
 from ._table import HttpTable
 
 __all__ = [
     "SEEDS_PER_DOMAIN",
+    "SHARE_PREFIX",
     "CommitError",
     "Committed",
     "Condition",
@@ -28,9 +39,16 @@
     "Put",
     "Row",
     "Seed",
+    "ShareConflict",
+    "ShareRecord",
+    "ShareWrite",
+    "StoredShare",
     "Table",
     "Transaction",
     "Unavailable",
     "read_seeds",
+    "read_share",
+    "share_key",
     "write_seed",
+    "write_shares",
 ]
--- /dev/null
+++ b/packages/endivebeam-store/src/endivebeam_store/_shares.py
@@ -0,0 +1,147 @@
+"""Share rows: which process holds which share of a group's rates."""
+
+from collections.abc import Awaitable, Callable, Sequence
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from endivebeam_model import NodeId, OperationId
+
+from ._rows import (
+    CommitError,
+    Committed,
+    Condition,
+    Conflict,
+    Put,
+    Row,
+    Table,
+    Transaction,
+    Unavailable,
+)
+
+SHARE_PREFIX = "share/"
+
+Commit = Callable[[Transaction], Awaitable[Result[Committed, CommitError]]]
+"""Applies a transaction to the table, directly or through another node."""
+
+
+class ShareRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Value of a share row.
+
+    ``token`` is random per process start: a restarted node has the same id and
+    starts again at incarnation 1, but it does not hold what it held before.
+    ``epoch`` rises whenever the holder changes.
+    """
+
+    holder: NodeId
+    incarnation: int
+    token: int
+    epoch: int
+
+
+class StoredShare(msgspec.Struct, frozen=True, kw_only=True):
+    """A share row and its version, which rises with each write."""
+
+    group: int
+    slot: int
+    version: int
+    record: ShareRecord
+
+
+class ShareWrite(msgspec.Struct, frozen=True, kw_only=True):
+    """A new record, written only if the row still has a version; 0 is absent."""
+
+    group: int
+    slot: int
+    expected: int
+    record: ShareRecord
+
+
+class ShareConflict(msgspec.Struct, frozen=True, kw_only=True):
+    """Rows that differ from what was expected; nothing was written."""
+
+    current: tuple[StoredShare, ...]
+
+
+ShareError = ShareConflict | Unavailable
+
+
+def share_key(group: int, slot: int) -> str:
+    """Return the key of a share row.
+
+    >>> share_key(3, 1)
+    'share/3/1'
+    """
+    return f"{SHARE_PREFIX}{group}/{slot}"
+
+
+async def read_share(
+    table: Table, group: int, slot: int
+) -> Result[StoredShare | None, Unavailable]:
+    """Return a share row, or None when nobody has held the share yet."""
+    answer = await table.read(share_key(group, slot))
+    return answer.bind(_decode_optional)
+
+
+async def write_shares(
+    commit: Commit, writes: Sequence[ShareWrite], op_id: OperationId
+) -> Result[Committed, ShareError]:
+    """Write share rows in one transaction, all or none.
+
+    A repetition with the same operation id returns the first result.
+    """
+    transaction = Transaction(
+        op_id=op_id,
+        conditions=tuple(
+            Condition(key=share_key(w.group, w.slot), version=w.expected)
+            for w in writes
+        ),
+        puts=tuple(
+            Put(
+                key=share_key(w.group, w.slot),
+                value=msgspec.json.encode(w.record).decode(),
+            )
+            for w in writes
+        ),
+    )
+    match await commit(transaction):
+        case Success(committed):
+            return Success(committed)
+        case Failure(Conflict(rows=rows)):
+            return _decode_conflict(rows)
+        case Failure(Unavailable() as error):
+            return Failure(error)
+    raise AssertionError("a result is a success or a failure")
+
+
+def _decode_conflict(rows: Sequence[Row]) -> Result[Committed, ShareError]:
+    found = []
+    for row in rows:
+        match _decode(row):
+            case Success(share):
+                found.append(share)
+            case Failure(error):
+                return Failure(error)
+    return Failure(ShareConflict(current=tuple(found)))
+
+
+def _decode_optional(row: Row | None) -> Result[StoredShare | None, Unavailable]:
+    if row is None:
+        return Success(None)
+    return _decode(row).map(lambda share: share)
+
+
+def _decode(row: Row) -> Result[StoredShare, Unavailable]:
+    try:
+        group, slot = row.key.removeprefix(SHARE_PREFIX).split("/")
+        return Success(
+            StoredShare(
+                group=int(group),
+                slot=int(slot),
+                version=row.version,
+                record=msgspec.json.decode(row.value, type=ShareRecord),
+            )
+        )
+    except (ValueError, msgspec.DecodeError) as error:
+        message = f"row {row.key} is not a share record: {error}"
+        return Failure(Unavailable(message=message))
--- a/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
@@ -19,6 +19,7 @@
     LogEntry,
     Member,
     NodeId,
+    OperationId,
     Refusal,
     Semantics,
     ServiceName,
@@ -165,6 +166,128 @@
     entries: Sequence[LogEntry]
 
 
-Request = Heartbeat | CallRequest | SyncMembers | AskEntries
-Reply = HeartbeatEcho | CallAnswer | CallRefused | MemberList | Entries
+class GrantReport(msgspec.Struct, frozen=True, array_like=True):
+    """Totals of spent and returned tokens of one grant since it was made."""
+
+    grant_id: int
+    spent: float
+    returned: float
+
+
+class AskGrant(_Message, frozen=True, kw_only=True, tag=20):
+    """Asks the holder of a share for tokens and reports spent ones.
+
+    At least ``need`` tokens are granted, or none. ``token`` names the holder's
+    process that the reports are for. Without a need it only reports.
+    """
+
+    request_id: int
+    account: AccountId
+    slot: int
+    need: float = 0.0
+    want: float = 0.0
+    token: int = 0
+    reports: Annotated[list[GrantReport], msgspec.Meta(max_length=1024)] = []
+
+
+class Grant(_Message, frozen=True, kw_only=True, tag=21):
+    """Answers ``AskGrant``.
+
+    ``status`` is ``granted``, ``declined``, ``stopped`` or ``not_holder``;
+    ``level`` is what remains in the bucket, ``token`` names the holder's
+    process, and ``holder`` is the node that holds the share as far as known.
+    """
+
+    request_id: int
+    status: ShortText
+    grant_id: int = 0
+    tokens: float = 0.0
+    level: float = 0.0
+    token: int = 0
+    holder: NodeId = NodeId("")
+
+
+class BucketLevel(msgspec.Struct, frozen=True, array_like=True):
+    """Level and outstanding tokens of one account's bucket."""
+
+    account: AccountId
+    level: float
+    outstanding: float
+
+
+class HandOverShare(_Message, frozen=True, kw_only=True, tag=22):
+    """Hands a share over to its next holder, which writes the row.
+
+    The sender stops granting before it sends this. ``version`` is the row's
+    version that the receiver's write depends on. ``age_ms`` is the time since
+    which the buckets are complete, -1 since ever.
+    """
+
+    request_id: int
+    group: int
+    slot: int
+    epoch: int
+    version: int
+    age_ms: int
+    buckets: Annotated[list[BucketLevel], msgspec.Meta(max_length=16384)]
+
+
+class ShareTaken(_Message, frozen=True, kw_only=True, tag=25):
+    """Answers ``HandOverShare``: whether the receiver holds the share now."""
+
+    request_id: int
+    taken: bool
+
+
+class RelayedRow(msgspec.Struct, frozen=True, array_like=True):
+    """A table row; ``op_id`` names the operation that wrote it."""
+
+    key: ShortText
+    value: ShortText
+    version: int
+    op_id: OperationId = OperationId("")
+
+
+class RelayStore(_Message, frozen=True, kw_only=True, tag=23):
+    """Renews share leases through a node that reaches the store.
+
+    ``version`` of a row is the one that the write depends on.
+    """
+
+    request_id: int
+    op_id: OperationId
+    rows: Annotated[list[RelayedRow], msgspec.Meta(max_length=1024)]
+
+
+class RelayResult(_Message, frozen=True, kw_only=True, tag=24):
+    """Answers ``RelayStore``.
+
+    ``outcome`` is ``committed``, ``conflict`` (with the conflicting rows) or
+    ``unavailable``.
+    """
+
+    request_id: int
+    outcome: ShortText
+    rows: Annotated[list[RelayedRow], msgspec.Meta(max_length=1024)] = []
+
+
+Request = (
+    Heartbeat
+    | CallRequest
+    | SyncMembers
+    | AskEntries
+    | AskGrant
+    | HandOverShare
+    | RelayStore
+)
+Reply = (
+    HeartbeatEcho
+    | CallAnswer
+    | CallRefused
+    | MemberList
+    | Entries
+    | Grant
+    | ShareTaken
+    | RelayResult
+)
 Message = Hello | CancelCall | Request | Reply
