Check rate shares in virtual time with a state machine

The holders, leases and requesters of six nodes run on a loop whose time jumps, with a table and streams that fail.

--- a/packages/endivebeam-node/src/endivebeam_node/__init__.py
+++ b/packages/endivebeam-node/src/endivebeam_node/__init__.py
@@ -1,15 +1,29 @@
 """The endivebeam node daemon."""
 
+from ._contacts import Contacts
 from ._daemon import Ports, run_daemon
+from ._fleet_view import FleetView
+from ._holder import ShareHolder
+from ._leases import LeaseKeeper
 from ._main import main
+from ._peers import UnreachableError
+from ._rates import Rates
+from ._relays import serve_relay
 from ._settings import Operator, SeedAddress, Settings, load_settings
 
 __all__ = [
+    "Contacts",
+    "FleetView",
+    "LeaseKeeper",
     "Operator",
     "Ports",
+    "Rates",
     "SeedAddress",
     "Settings",
+    "ShareHolder",
+    "UnreachableError",
     "load_settings",
     "main",
     "run_daemon",
+    "serve_relay",
 ]
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -140,6 +140,7 @@
             peers=self.peers,
             table=self.table,
             tasks=tasks,
+            rng=self._rng,
         )
         self.callers = CallerHandler(
             config=self.config, calls=self.calls, take_token=self.rates.take_token
--- a/packages/endivebeam-node/src/endivebeam_node/_holder.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_holder.py
@@ -1,7 +1,7 @@
 """Shares that this node holds: grants, acquisition and handover."""
 
 import itertools
-import secrets
+import random
 from collections.abc import Callable, Mapping, Sequence
 
 import anyio
@@ -73,12 +73,13 @@
         ask: AskPeer,
         contracts: Callable[[], Mapping[AccountId, Contract]],
         clock: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self.layout = layout
         self.times = times
         self.view = view
         self.clock = clock
-        self.token = secrets.randbits(62) + 1
+        self.token = rng.getrandbits(62) + 1
         self.held: dict[ShareId, HeldShare] = {}
         self.known: dict[ShareId, NodeId] = {}
         self.writing = anyio.Lock()
@@ -86,6 +87,7 @@
         self._table = table
         self._ask = ask
         self._contracts = contracts
+        self._rng = rng
         self._grant_ids = itertools.count(1)
         self._acquiring: set[ShareId] = set()
         self._around: Surroundings | None = None
@@ -146,7 +148,7 @@
         self, writes: Sequence[ShareWrite]
     ) -> Result[Committed, ShareConflict | Unavailable]:
         """Write share rows, through another node when the store answers only it."""
-        op_id = OperationId(secrets.token_hex(12))
+        op_id = OperationId(f"{self._rng.getrandbits(96):024x}")
         result = await write_shares(self._table.commit, writes, op_id)
         age = self.view.store_age()
         live = self.view.live()
@@ -154,7 +156,7 @@
             case Failure(Unavailable()) if live and age is not None:
                 if age > RELAY_EVIDENCE_S:
                     return result
-                member = secrets.choice(live)
+                member = self._rng.choice(live)
                 logger.info("limits: writes leases through {}", member.node_id)
                 return await write_shares(
                     lambda t: relay_commit(self._ask, member, t), writes, op_id
--- a/packages/endivebeam-node/src/endivebeam_node/_limits.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_limits.py
@@ -1,5 +1,6 @@
 """Rate limits of one node: the shares it holds and the tokens its calls take."""
 
+import random
 import time
 from collections.abc import Callable
 
@@ -44,7 +45,7 @@
         peers: Peers,
         table: Table,
         tasks: anyio.abc.TaskGroup,
-        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random,
     ) -> None:
         self._peers = peers
         self._table = table
@@ -55,10 +56,11 @@
             table=table,
             ask=self._ask,
             contracts=lambda: config.snapshot.contracts,
-            clock=clock,
+            clock=time.monotonic,
+            rng=rng,
         )
         self._leases = LeaseKeeper(holder=self._holder, table=table)
-        self._rates = Rates(holder=self._holder, ask=self._ask, tasks=tasks)
+        self._rates = Rates(holder=self._holder, ask=self._ask, spawn=tasks.start_soon)
         config.listen(lambda _: self._holder.adopt())
 
     async def run(self) -> None:
--- a/packages/endivebeam-node/src/endivebeam_node/_rates.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_rates.py
@@ -1,11 +1,9 @@
 """Rate tokens of client accounts: from the local cache, else from the holders."""
 
-import itertools
 import math
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import anyio
-import anyio.abc
 
 from endivebeam_limits import (
     GrantCache,
@@ -107,7 +105,7 @@
     A call with a cached token does not wait. Otherwise the holder in the own
     failure domain is asked first and then the others. Holders whose bucket is
     known to be too low are not asked, so that calls above the rate cost no
-    messages.
+    messages. ``spawn`` starts a coroutine function in the background.
     """
 
     def __init__(
@@ -115,18 +113,18 @@
         *,
         holder: ShareHolder,
         ask: AskPeer,
-        tasks: anyio.abc.TaskGroup,
+        spawn: Callable[..., object],
     ) -> None:
         self._holder = holder
         self._layout = holder.layout
         self._view = holder.view
         self._clock = holder.clock
         self._ask = ask
-        self._tasks = tasks
+        self._spawn = spawn
         self._accounts: dict[AccountId, _Account] = {}
         self._active: dict[AccountId, _Account] = {}
         self._slots: dict[ShareId, _Slot] = {}
-        self._local_ids = itertools.count(1)
+        self._wake = anyio.Event()
 
     async def take_token(self, contract: Contract) -> Refusal | None:
         """Take one token; return a refusal with its cause when there is none."""
@@ -141,14 +139,17 @@
         if not cache.take(now):
             return await self._wait_for_token(account, contract)
         if not account.lock.locked() and cache.want_ahead(now):
-            self._tasks.start_soon(self._prefetch, account, contract)
+            self._spawn(self._prefetch, account, contract)
         return None
 
     async def run(self) -> None:
         """Report spent tokens and return unused ones until cancelled."""
         while True:
-            await anyio.sleep(REPORT_PERIOD_S)
-            self._report(self._clock())
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            while self._active:
+                await anyio.sleep(REPORT_PERIOD_S)
+                self._report(self._clock())
 
     def _open(self, account_id: AccountId, now: float) -> _Account:
         for known, account in list(self._accounts.items()):
@@ -247,6 +248,7 @@
             asked_at=asked_at,
         )
         self._active[account_id] = account
+        self._wake.set()
         return grant.tokens > 0
 
     async def _find_holder(
@@ -340,7 +342,7 @@
                     account.cache.reports(key)
                     continue
                 ask = self._build(account, account_id, key.slot, 0.0, 0.0)
-                self._tasks.start_soon(self._send, slot.location, ask)
+                self._spawn(self._send, slot.location, ask)
             if account.cache.is_empty():
                 del self._active[account_id]
 
--- /dev/null
+++ b/packages/endivebeam-node/tests/test_rate_shares.py
@@ -0,0 +1,252 @@
+"""Rate shares of several nodes under faults, in virtual time."""
+
+import asyncio
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from endivebeam_limits import GRANT_LIFE_S, LeaseTimes, ShareId
+from endivebeam_model import AccountId, Contract, DomainName, RefusalReason
+from endivebeam_standins.virtual_loop import VirtualLoop
+from endivebeam_standins.virtual_rates import StoreFault, VirtualFleet, VirtualNode
+
+ACCOUNT = AccountId("northfit")
+DOMAINS = tuple(DomainName(name) for name in "abc")
+SLACK = 1e-3
+
+# A tenth of the times of a real fleet where they are long. Evidence spreads
+# within one second here, so grace and spread stay below the settling time.
+SHORT = LeaseTimes(ttl_s=8.0, renew_s=2.0, contact_s=2.0, grace_s=1.0, settle_s=4.0)
+
+
+class Contracts:
+    """Contracts over time, and the naive bound that they give."""
+
+    def __init__(self) -> None:
+        self._changes: list[tuple[float, Contract]] = []
+
+    def add(self, at: float, contract: Contract) -> None:
+        self._changes.append((at, contract))
+
+    def burst(self, at: float) -> float:
+        """Return the largest burst in force while tokens of a moment lived."""
+        ends = [end for end, _ in self._changes[1:]] + [float("inf")]
+        return max(
+            contract.burst
+            for (start, contract), end in zip(self._changes, ends, strict=True)
+            if start <= at and end >= at - GRANT_LIFE_S
+        )
+
+    def refill(self, at: float) -> float:
+        """Return rate x time up to a moment."""
+        ends = [end for end, _ in self._changes[1:]] + [float("inf")]
+        return sum(
+            contract.rate_per_s * (min(at, end) - start)
+            for (start, contract), end in zip(self._changes, ends, strict=True)
+            if start <= at
+        )
+
+
+def find_excess(spent: list[float], contracts: Contracts) -> float:
+    """Return by how much the fullest of all windows exceeds its bound."""
+    bursts = [contracts.burst(at) for at in spent]
+    refills = [contracts.refill(at) for at in spent]
+    excess = 0.0
+    for i in range(len(spent)):
+        burst = bursts[i]
+        for j in range(i, len(spent)):
+            burst = max(burst, bursts[j])
+            excess = max(excess, j - i + 1 - burst - refills[j] + refills[i])
+    return excess
+
+
+class World:
+    """A virtual fleet, its loop, and the times of admitted calls."""
+
+    def __init__(self, *, times: LeaseTimes = SHORT, seed: int = 1) -> None:
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.contracts = Contracts()
+        self.spent: list[float] = []
+        self.reasons: list[RefusalReason] = []
+        self.fleet = self.run(self._build(times, seed))
+        self.put(rate=4.0, burst=9.0)
+
+    def run(self, coroutine):  # noqa: ANN001
+        return self.loop.run_until_complete(coroutine)
+
+    def advance(self, seconds: float) -> None:
+        self.run(asyncio.sleep(seconds))
+
+    def put(self, *, rate: float, burst: float) -> None:
+        contract = Contract(account=ACCOUNT, rate_per_s=rate, burst=burst)
+        self.contracts.add(self.loop.time(), contract)
+        self.fleet.put_contract(contract)
+
+    def call(self, node: VirtualNode, count: int = 1) -> None:
+        """Start calls that may still wait when this returns."""
+        for _ in range(count):
+            self.fleet.start_soon(self._call, node)
+        self.advance(0.0)
+
+    def flood(self, *, calls_per_s: float) -> None:
+        """Send calls to every running node until the end."""
+        self.fleet.start_soon(self._flood, 1 / calls_per_s)
+
+    def revive(self, node: VirtualNode) -> None:
+        """Resume a paused node; restart a killed one under its id."""
+        if node.killed:
+            self.fleet.start(node.member.node_id, node.domain)
+        elif not node.running.is_set():
+            node.resume()
+
+    def nodes(self) -> list[VirtualNode]:
+        return list(self.fleet.nodes.values())
+
+    def node(self, index: int) -> VirtualNode:
+        return self.nodes()[index]
+
+    def holder(self, slot: int) -> VirtualNode | None:
+        share = ShareId(0, slot)
+        for node in self.fleet.nodes.values():
+            if share in node.holder.held and not node.killed:
+                return node
+        return None
+
+    def close(self) -> None:
+        self.fleet.stop()
+        self.loop.close()
+
+    async def _build(self, times: LeaseTimes, seed: int) -> VirtualFleet:
+        return VirtualFleet(
+            loop=self.loop,
+            domains=DOMAINS,
+            nodes_per_domain=2,
+            times=times,
+            seed=seed,
+        )
+
+    async def _flood(self, period_s: float) -> None:
+        while True:
+            for node in self.nodes():
+                if node.running.is_set():
+                    self.fleet.start_soon(self._call, node)
+            await asyncio.sleep(period_s)
+
+    async def _call(self, node: VirtualNode) -> None:
+        refusal = await self.fleet.call(node, ACCOUNT)
+        if refusal is None:
+            self.spent.append(self.loop.time())
+        else:
+            self.reasons.append(refusal.reason)
+
+
+NODE = st.integers(0, 5)
+SLOT = st.integers(0, 2)
+
+
+class RateMachine(RuleBasedStateMachine):
+    """Guards against any window above rate x time + burst, whatever fails.
+
+    Every running node receives more calls than the contract allows.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+        self.world.flood(calls_per_s=3.0)
+        self.world.advance(3.0)
+
+    @rule(seconds=st.sampled_from([0.05, 0.5, 0.9, 2.0, 5.0, 9.5]))
+    def wait(self, seconds: float) -> None:
+        self.world.advance(seconds)
+
+    @rule()
+    def recover(self) -> None:
+        fleet = self.world.fleet
+        fleet.isolated.clear()
+        fleet.table.fault = StoreFault.NONE
+        for node in list(fleet.nodes.values()):
+            node.cut_off = False
+            self.world.revive(node)
+        self.world.advance(0.5)
+
+    @rule(index=NODE, count=st.sampled_from([3, 12]))
+    def call(self, index: int, count: int) -> None:
+        self.world.call(self.world.node(index), count)
+
+    @rule(index=NODE)
+    def revive(self, index: int) -> None:
+        self.world.revive(self.world.node(index))
+
+    @rule(index=NODE, seconds=st.sampled_from([0.9, 1.5, 6.0, 9.5]))
+    def pause(self, index: int, seconds: float) -> None:
+        self.world.node(index).pause()
+        self.world.advance(seconds)
+
+    @rule(slot=SLOT, seconds=st.sampled_from([0.9, 1.5, 6.0, 9.5, 14.0]))
+    def pause_holder(self, slot: int, seconds: float) -> None:
+        holder = self.world.holder(slot)
+        if holder is not None:
+            holder.pause()
+            self.world.advance(seconds)
+            self.world.revive(holder)
+
+    @rule(slot=SLOT, restart=st.booleans())
+    def kill_holder(self, slot: int, restart: bool) -> None:
+        holder = self.world.holder(slot)
+        if holder is not None:
+            holder.kill()
+            if restart:
+                self.world.revive(holder)
+
+    @rule(domain=st.sampled_from(DOMAINS))
+    def cut_or_heal_domain(self, domain: DomainName) -> None:
+        self.world.fleet.isolated ^= {domain}
+
+    @rule(slot=SLOT)
+    def cut_holder_from_store(self, slot: int) -> None:
+        holder = self.world.holder(slot)
+        if holder is not None:
+            holder.cut_off = not holder.cut_off
+
+    @rule(fault=st.sampled_from(StoreFault))
+    def set_store_fault(self, fault: StoreFault) -> None:
+        self.world.fleet.table.fault = fault
+
+    @rule(rate=st.sampled_from([1.0, 4.0]), burst=st.sampled_from([2.0, 6.0, 9.0]))
+    def change_contract(self, rate: float, burst: float) -> None:
+        # A paused node adopts a change only when it runs again.
+        if all(n.running.is_set() or n.killed for n in self.world.nodes()):
+            self.world.put(rate=rate, burst=burst)
+
+    @rule(slot=SLOT, index=NODE)
+    def hand_over(self, slot: int, index: int) -> None:
+        holder = self.world.holder(slot)
+        receiver = self.world.node(index)
+        if holder is not None and holder.running.is_set() and holder is not receiver:
+            share = ShareId(0, slot)
+            node_id = receiver.member.node_id
+            self.world.fleet.start_soon(holder.holder.hand_over, share, node_id)
+            self.world.advance(0.01)
+
+    def teardown(self) -> None:
+        excess = find_excess(self.world.spent, self.world.contracts)
+        self.world.close()
+        assert excess <= SLACK
+
+
+class TestMachine(RateMachine.TestCase):
+    """Runs the state machine."""
+
+    settings = settings(max_examples=40, stateful_step_count=25)
+
+
+@pytest.fixture
+def world():
+    found = World(times=LeaseTimes())
+    found.advance(3.0)
+    yield found
+    found.close()
--- /dev/null
+++ b/packages/endivebeam-standins/src/endivebeam_standins/virtual_rates.py
@@ -0,0 +1,346 @@
+"""Rate shares of several nodes in one process and in virtual time.
+
+The nodes run the product's holders, leases and requesters. Table, streams and
+membership are small fakes that can be down, lose answers, pause or be cut.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from enum import Enum
+
+import anyio
+from returns.result import Failure, Result, Success
+
+from endivebeam_limits import LeaseTimes, ShareLayout
+from endivebeam_model import (
+    AccountId,
+    Address,
+    Contract,
+    DomainName,
+    Member,
+    MemberState,
+    NodeId,
+    Refusal,
+    RegionName,
+    ServiceName,
+)
+from endivebeam_node import (
+    Contacts,
+    FleetView,
+    LeaseKeeper,
+    Rates,
+    ShareHolder,
+    UnreachableError,
+    serve_relay,
+)
+from endivebeam_store import (
+    CommitError,
+    Committed,
+    Conflict,
+    Row,
+    Transaction,
+    Unavailable,
+)
+from endivebeam_wire import (
+    AskGrant,
+    HandOverShare,
+    HeartbeatEcho,
+    RelayStore,
+    Reply,
+    Request,
+    StreamLostError,
+)
+
+HEARTBEAT_PERIOD_S = 0.5
+DETECTION_S = 2.0
+LATE_WRITE_S = 3.0
+
+
+class StoreFault(Enum):
+    """How the fake table misbehaves."""
+
+    NONE = "none"
+    DOWN = "down"
+    LOST_ANSWERS = "lost_answers"
+    LATE_WRITES = "late_writes"
+
+
+class VirtualTable:
+    """Rows shared by all nodes of a virtual fleet."""
+
+    def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
+        self.rows: dict[str, Row] = {}
+        self.fault = StoreFault.NONE
+        self._loop = loop
+
+    def commit(self, transaction: Transaction) -> Result[Committed, CommitError]:
+        """Apply a transaction if its conditions hold."""
+        failed = [
+            c for c in transaction.conditions if self._version(c.key) != c.version
+        ]
+        if failed:
+            rows = [self.rows[c.key] for c in failed if c.key in self.rows]
+            return Failure(Conflict(rows=tuple(rows)))
+        for put in transaction.puts:
+            self.rows[put.key] = Row(
+                key=put.key,
+                value=put.value,
+                version=self._version(put.key) + 1,
+                op_id=transaction.op_id,
+            )
+        return Success(Committed(op_id=transaction.op_id))
+
+    def commit_late(self, transaction: Transaction) -> None:
+        """Apply a transaction after its sender has given up."""
+        self._loop.call_later(LATE_WRITE_S, self.commit, transaction)
+
+    def _version(self, key: str) -> int:
+        row = self.rows.get(key)
+        return 0 if row is None else row.version
+
+
+class _TableClient:
+    """The table as one node reaches it."""
+
+    def __init__(self, *, table: VirtualTable, node: "VirtualNode") -> None:
+        self._table = table
+        self._node = node
+
+    async def read(self, key: str) -> Result[Row | None, Unavailable]:
+        await self._node.gate()
+        if self._is_down():
+            return Failure(Unavailable(message="down"))
+        self._node.contacts.note_store_answer()
+        return Success(self._table.rows.get(key))
+
+    async def scan(
+        self, prefix: str, *, limit: int
+    ) -> Result[Sequence[Row], Unavailable]:
+        return Failure(Unavailable(message="not used"))
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, CommitError]:
+        await self._node.gate()
+        if self._is_down():
+            return Failure(Unavailable(message="down"))
+        match self._table.fault:
+            case StoreFault.LOST_ANSWERS:
+                self._table.commit(transaction)
+                return Failure(Unavailable(message="lost", maybe_applied=True))
+            case StoreFault.LATE_WRITES:
+                self._table.commit_late(transaction)
+                return Failure(Unavailable(message="late", maybe_applied=True))
+        self._node.contacts.note_store_answer()
+        return self._table.commit(transaction)
+
+    def _is_down(self) -> bool:
+        return self._node.cut_off or self._table.fault is StoreFault.DOWN
+
+
+class VirtualNode:
+    """One node process; a restart makes a new one with the same id."""
+
+    def __init__(self, *, fleet: "VirtualFleet", member: Member) -> None:
+        self.member = member
+        self.domain = member.domain
+        self.fleet = fleet
+        self.cut_off = False
+        self.running = asyncio.Event()
+        self.stopped_at: float | None = None
+        self.killed = False
+        self.contacts = Contacts(own_domain=member.domain, clock=fleet.loop.time)
+        table = _TableClient(table=fleet.table, node=self)
+        self.holder = ShareHolder(
+            layout=fleet.layout,
+            times=fleet.times,
+            view=FleetView(
+                local=lambda: self.member,
+                live=lambda: fleet.live(self),
+                contact_ages=self.contacts.domain_ages,
+                store_age=self.contacts.store_age,
+            ),
+            table=table,
+            ask=self._ask,
+            contracts=lambda: fleet.contracts,
+            clock=fleet.loop.time,
+            rng=fleet.rng,
+        )
+        self.keeper = LeaseKeeper(holder=self.holder, table=table)
+        self._table = table
+        self.rates: Rates | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def gate(self) -> None:
+        """Wait while the process is paused."""
+        await self.running.wait()
+
+    def resume(self) -> None:
+        """Run the periodic work."""
+        self.stopped_at = None
+        self.running.set()
+        self.holder.adopt()
+        self._task = self.fleet.loop.create_task(self._run())
+
+    def pause(self) -> None:
+        """Stop the process in the middle of what it does."""
+        self.running.clear()
+        self.stopped_at = self.fleet.loop.time()
+        if self._task is not None:
+            self._task.cancel()
+
+    def kill(self) -> None:
+        """End the process; its memory is lost."""
+        self.pause()
+        self.killed = True
+
+    async def _run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            if self.rates is None:
+                self.rates = Rates(
+                    holder=self.holder, ask=self._ask, spawn=self.fleet.start_soon
+                )
+            tasks.start_soon(self.rates.run)
+            tasks.start_soon(self.keeper.run)
+
+    async def _ask(self, member: Member, build: Callable[[int], Request]) -> Reply:
+        node = self.fleet.nodes.get(member.node_id)
+        self.fleet.messages += 1
+        if node is None or node.killed:
+            raise UnreachableError("connection refused")
+        if not self.fleet.connected(self, node):
+            await asyncio.sleep(1.0)
+            raise UnreachableError("no answer")
+        await asyncio.sleep(self.fleet.latency(self, node))
+        await node.gate()
+        reply = await node.serve(build(1))
+        await asyncio.sleep(self.fleet.latency(node, self))
+        await self.gate()
+        if node.killed:
+            raise StreamLostError("reset")
+        return reply
+
+    async def serve(self, request: Request) -> Reply:
+        """Answer a request of another node."""
+        match request:
+            case AskGrant():
+                return self.holder.answer(request)
+            case HandOverShare():
+                return await self.holder.take_over(request)
+            case RelayStore():
+                return await serve_relay(self._table, request)
+        raise AssertionError("not a request of the rate shares")
+
+
+class VirtualFleet:
+    """Nodes, the table between them, and what their calls were answered."""
+
+    def __init__(
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        domains: Sequence[str],
+        nodes_per_domain: int,
+        groups: int = 1,
+        times: LeaseTimes,
+        seed: int,
+        one_way_s: float = 0.0015,
+    ) -> None:
+        self.loop = loop
+        self.times = times
+        self.rng = random.Random(seed)
+        self.layout = ShareLayout(
+            groups=groups, domains=tuple(DomainName(d) for d in domains)
+        )
+        self.table = VirtualTable(loop=loop)
+        self.contracts: dict[AccountId, Contract] = {}
+        self.isolated: set[DomainName] = set()
+        self.messages = 0
+        self.nodes: dict[NodeId, VirtualNode] = {}
+        self._one_way_s = one_way_s
+        self._tasks: set[asyncio.Task[None]] = set()
+        for domain in self.layout.domains:
+            for number in range(nodes_per_domain):
+                self.start(NodeId(f"{domain}-{number}"), domain)
+        self.start_soon(self._beat)
+
+    def start_soon(self, function: Callable[..., object], *args: object) -> None:
+        """Run a coroutine function in the background."""
+        task: asyncio.Task[None] = self.loop.create_task(function(*args))  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def stop(self) -> None:
+        """Cancel everything that runs in the background."""
+        for node in self.nodes.values():
+            node.pause()
+        for task in self._tasks:
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0.01))
+
+    def start(self, node_id: NodeId, domain: DomainName) -> None:
+        """Start a node, or restart it under the same id."""
+        member = Member(
+            node_id=node_id,
+            incarnation=1,
+            sequence=0,
+            address=Address("127.0.0.1", 1),
+            region=RegionName("region"),
+            domain=domain,
+            service=ServiceName("service"),
+            slots=1,
+            state=MemberState.SERVING,
+        )
+        self.nodes[node_id] = VirtualNode(fleet=self, member=member)
+        self.nodes[node_id].resume()
+
+    def live(self, node: VirtualNode) -> list[Member]:
+        """Return the members that a node believes alive."""
+        now = self.loop.time()
+        return [
+            other.member
+            for other in self.nodes.values()
+            if other is not node
+            and (other.stopped_at is None or now - other.stopped_at < DETECTION_S)
+        ]
+
+    def connected(self, a: VirtualNode, b: VirtualNode) -> bool:
+        """Return whether messages pass between two nodes."""
+        if a.domain == b.domain:
+            return True
+        return a.domain not in self.isolated and b.domain not in self.isolated
+
+    def latency(self, a: VirtualNode, b: VirtualNode) -> float:
+        """Return the time of a message one way."""
+        return self._one_way_s if a.domain != b.domain else 0.0002
+
+    def put_contract(self, contract: Contract) -> None:
+        """Put a contract in force on all running nodes."""
+        self.contracts = {**self.contracts, contract.account: contract}
+        for node in self.nodes.values():
+            if node.running.is_set():
+                node.holder.adopt()
+
+    async def call(self, node: VirtualNode, account: AccountId) -> Refusal | None:
+        """Take a token for one call that enters at a node."""
+        await node.gate()
+        if node.rates is None:
+            await asyncio.sleep(0)
+        assert node.rates is not None
+        return await node.rates.take_token(self.contracts[account])
+
+    async def _beat(self) -> None:
+        while True:
+            running = [n for n in self.nodes.values() if n.running.is_set()]
+            for node in running:
+                for other in running:
+                    if node is not other and self.connected(node, other):
+                        node.contacts.note_echo(other.domain, _echo(other))
+            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+
+
+def _echo(node: VirtualNode) -> HeartbeatEcho:
+    return HeartbeatEcho(
+        request_id=0,
+        store_age_ms=node.contacts.store_age_ms(),
+        domain_ages_ms=node.contacts.domain_ages_ms(),
+    )
