--- a/packages/endivebeam-limits/src/endivebeam_limits/__init__.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/__init__.py
@@ -1,18 +1,77 @@
 """Rate shares, concurrency limits, admission queue and retry budgets."""
 
-from ._admission import Admission, Changes
-from ._concurrency import ConcurrencyLimit
-from ._fair_queue import FairQueue
-from ._retries import RetryBudget, RetryBudgets
-from ._tickets import Ticket, TicketState
+from ._admission import (
+    Admission,
+    Changes,
+)
+from ._bucket import (
+    GRANT_LIFE_S,
+    GRANT_VALIDITY_S,
+    Bucket,
+    BucketState,
+)
+from ._concurrency import (
+    ConcurrencyLimit,
+)
+from ._fair_queue import (
+    FairQueue,
+)
+from ._grants import (
+    GrantCache,
+    HolderKey,
+    Report,
+)
+from ._leases import (
+    HolderLease,
+    LeaseTimes,
+    Surroundings,
+    TakeoverWatch,
+)
+from ._placement import (
+    Candidate,
+    ShareId,
+    ShareLayout,
+    rank_holders,
+)
+from ._retries import (
+    RetryBudget,
+    RetryBudgets,
+)
+from ._shares import (
+    GrantAnswer,
+    GrantStatus,
+    HeldShare,
+)
+from ._tickets import (
+    Ticket,
+    TicketState,
+)
 
 __all__ = [
+    "GRANT_LIFE_S",
+    "GRANT_VALIDITY_S",
     "Admission",
+    "Bucket",
+    "BucketState",
+    "Candidate",
     "Changes",
     "ConcurrencyLimit",
     "FairQueue",
+    "GrantAnswer",
+    "GrantCache",
+    "GrantStatus",
+    "HeldShare",
+    "HolderKey",
+    "HolderLease",
+    "LeaseTimes",
+    "Report",
     "RetryBudget",
     "RetryBudgets",
+    "ShareId",
+    "ShareLayout",
+    "Surroundings",
+    "TakeoverWatch",
     "Ticket",
     "TicketState",
+    "rank_holders",
 ]
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -4,6 +4,7 @@
 import secrets
 import signal
 import socket
+import time
 from typing import cast
 
 import anyio
@@ -19,14 +20,12 @@
 from endivebeam_limits import RetryBudgets
 from endivebeam_model import (
     Address,
-    Contract,
     DomainName,
     LogEntry,
     Member,
     MemberState,
     NodeId,
     OperationId,
-    Refusal,
     RegionName,
     ServiceName,
     WithdrawKey,
@@ -35,14 +34,17 @@
 from endivebeam_wire import (
     PROTOCOL_VERSION,
     AskEntries,
+    AskGrant,
     AskOutcome,
     CallRequest,
     Entries,
+    HandOverShare,
     Heartbeat,
     HeartbeatEcho,
     Hello,
     MemberList,
     PeerStream,
+    RelayStore,
     Reply,
     Request,
     SyncMembers,
@@ -54,8 +56,11 @@
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
 from ._config import ConfigCopy
+from ._contacts import Contacts
+from ._fleet_view import FleetView
 from ._forward import TargetForwarder
 from ._inflight import InFlight
+from ._limits import RateLimits
 from ._members import Members
 from ._nested import LocalHandler
 from ._once import OnceRunner, ask_outcome
@@ -93,7 +98,12 @@
         self.in_flight = InFlight()
         self.members = Members(local=_local_member(settings))
         self._client = httpx.AsyncClient(base_url=settings.platform_url, timeout=5.0)
-        self.table = HttpTable(client=self._client)
+        self.contacts = Contacts(
+            own_domain=DomainName(settings.domain), clock=time.monotonic
+        )
+        self.table = HttpTable(
+            client=self._client, on_answer=self.contacts.note_store_answer
+        )
         self.log = ConfigLog(table=self.table)
         self.peers = Peers(
             tasks=tasks,
@@ -143,8 +153,17 @@
             run_once=self.once.run,
             budgets=RetryBudgets(),
         )
+        self.rates = RateLimits(
+            settings=settings,
+            view=self._fleet_view(),
+            config=self.config,
+            peers=self.peers,
+            table=self.table,
+            tasks=tasks,
+            rng=self._rng,
+        )
         self.callers = CallerHandler(
-            config=self.config, calls=self.calls, take_token=self._take_token
+            config=self.config, calls=self.calls, take_token=self.rates.take_token
         )
         self.local = LocalHandler(
             config=self.config,
@@ -174,6 +193,7 @@
             servers.start_soon(peer.serve, self.peers.accept)
             servers.start_soon(self._serve_admin, admin)
             servers.start_soon(self.sync.run)
+            servers.start_soon(self.rates.run)
             ports = Ports(
                 caller=_port_of(caller),
                 local=_port_of(local),
@@ -194,6 +214,7 @@
         self.calls.draining = True
         self.members.update_local(state=MemberState.DRAINING)
         self._caller_server.drain()
+        await self.rates.leave()
         with anyio.move_on_after(self.settings.drain_timeout_s):
             # Other nodes need time to learn of the drain before streams close.
             await anyio.sleep(1.0)
@@ -225,7 +246,10 @@
                 return _with_id(outcome, request.request_id)
             case Heartbeat(request_id=request_id):
                 return HeartbeatEcho(
-                    request_id=request_id, config_version=self.config.version
+                    request_id=request_id,
+                    config_version=self.config.version,
+                    store_age_ms=self.contacts.store_age_ms(),
+                    domain_ages_ms=self.contacts.domain_ages_ms(),
                 )
             case SyncMembers(request_id=request_id, members=members):
                 self.members.merge(members)
@@ -235,6 +259,8 @@
                 return Entries(request_id=request_id, entries=entries)
             case AskOutcome():
                 return self.once.answer(request)
+            case AskGrant() | HandOverShare() | RelayStore():
+                return await self.rates.answer(request)
 
     def _hello(self) -> Hello:
         local = self.members.local
@@ -249,6 +275,9 @@
         return Heartbeat(request_id=request_id, config_version=self.config.version)
 
     def _on_echo(self, address: Address, echo: HeartbeatEcho) -> None:
+        for member in self.members.live():
+            if member.address == address:
+                self.contacts.note_echo(member.domain, echo)
         if echo.config_version > self.config.version:
             self._tasks.start_soon(self.sync.pull_entries, address, echo.config_version)
 
@@ -288,8 +317,13 @@
     async def _ask_outcome(self, node_id: NodeId, op_id: OperationId) -> Known:
         return await ask_outcome(self.peers, self.members.find_address(node_id), op_id)
 
-    async def _take_token(self, contract: Contract) -> Refusal | None:
-        return None
+    def _fleet_view(self) -> FleetView:
+        return FleetView(
+            local=lambda: self.members.local,
+            live=self.members.live,
+            contact_ages=self.contacts.domain_ages,
+            store_age=self.contacts.store_age,
+        )
 
 
 def _local_member(settings: Settings) -> Member:
--- a/packages/endivebeam-store/src/endivebeam_store/__init__.py
+++ b/packages/endivebeam-store/src/endivebeam_store/__init__.py
@@ -22,8 +22,13 @@
     perform,
     release_steps,
 )
-from ._config_log import ConfigLog
-from ._objects import HttpObjects, Objects
+from ._config_log import (
+    ConfigLog,
+)
+from ._objects import (
+    HttpObjects,
+    Objects,
+)
 from ._rows import (
     CommitError,
     Committed,
@@ -35,11 +40,29 @@
     Transaction,
     Unavailable,
 )
-from ._seeds import SEEDS_PER_DOMAIN, Seed, read_seeds, write_seed
-from ._table import HttpTable
+from ._seeds import (
+    SEEDS_PER_DOMAIN,
+    Seed,
+    read_seeds,
+    write_seed,
+)
+from ._shares import (
+    SHARE_PREFIX,
+    ShareConflict,
+    ShareRecord,
+    ShareWrite,
+    StoredShare,
+    read_share,
+    share_key,
+    write_shares,
+)
+from ._table import (
+    HttpTable,
+)
 
 __all__ = [
     "SEEDS_PER_DOMAIN",
+    "SHARE_PREFIX",
     "CallRecord",
     "CallState",
     "Claim",
@@ -60,7 +83,11 @@
     "ReadObject",
     "Row",
     "Seed",
+    "ShareConflict",
+    "ShareRecord",
+    "ShareWrite",
     "StoreAction",
+    "StoredShare",
     "Table",
     "Transaction",
     "Unavailable",
@@ -74,6 +101,9 @@
     "digest_request",
     "perform",
     "read_seeds",
+    "read_share",
     "release_steps",
+    "share_key",
     "write_seed",
+    "write_shares",
 ]
--- a/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
@@ -1,17 +1,26 @@
 """Typed peer messages, their frames and the streams that carry them."""
 
-from ._codec import FrameError, FrameReader, encode_frame
+from ._codec import (
+    FrameError,
+    FrameReader,
+    encode_frame,
+)
 from ._messages import (
     MAX_BODY_BYTES,
     MAX_FRAME_BYTES,
     PROTOCOL_VERSION,
     AskEntries,
+    AskGrant,
     AskOutcome,
+    BucketLevel,
     CallAnswer,
     CallRefused,
     CallRequest,
     CancelCall,
     Entries,
+    Grant,
+    GrantReport,
+    HandOverShare,
     Header,
     Heartbeat,
     HeartbeatEcho,
@@ -21,11 +30,20 @@
     Message,
     Outcome,
     OutcomeState,
+    RelayedRow,
+    RelayResult,
+    RelayStore,
     Reply,
     Request,
+    ShareTaken,
     SyncMembers,
 )
-from ._streams import Answer, PeerStream, StreamFullError, StreamLostError
+from ._streams import (
+    Answer,
+    PeerStream,
+    StreamFullError,
+    StreamLostError,
+)
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -33,7 +51,9 @@
     "PROTOCOL_VERSION",
     "Answer",
     "AskEntries",
+    "AskGrant",
     "AskOutcome",
+    "BucketLevel",
     "CallAnswer",
     "CallRefused",
     "CallRequest",
@@ -41,6 +61,9 @@
     "Entries",
     "FrameError",
     "FrameReader",
+    "Grant",
+    "GrantReport",
+    "HandOverShare",
     "Header",
     "Heartbeat",
     "HeartbeatEcho",
@@ -51,8 +74,12 @@
     "Outcome",
     "OutcomeState",
     "PeerStream",
+    "RelayResult",
+    "RelayStore",
+    "RelayedRow",
     "Reply",
     "Request",
+    "ShareTaken",
     "StreamFullError",
     "StreamLostError",
     "SyncMembers",
