Check contract documents and compare them with a configuration

Operators had no document format; changes were hand-written JSON.

Adds the YAML contract document with checked fields. All findings are reported together with file, line, column and path. Unknown fields and services get the nearest known name.

--- a/packages/endivebeam-model/src/endivebeam_model/__init__.py
+++ b/packages/endivebeam-model/src/endivebeam_model/__init__.py
@@ -22,6 +22,29 @@
     Service,
     Snapshot,
 )
+from ._conversion import (
+    KEY_ID_CHARS,
+    describe_change,
+    diff_document,
+    dump_document,
+    from_snapshot,
+    to_contract,
+    to_service,
+)
+from ._document import (
+    MAX_TIMEOUT_MS,
+    ContractDocument,
+    check_document,
+    load_document,
+)
+from ._findings import (
+    Finding,
+    Place,
+    Severity,
+    Source,
+    format_path,
+    has_errors,
+)
 from ._ids import (
     AccountId,
     ChainId,
@@ -33,9 +56,11 @@
     RegionName,
     ServiceName,
 )
+from ._loading import Loaded, check_data, load_model, suggest
 from ._lookup import authenticate, digest_key, find_route
 from ._members import Address, Member
 from ._refusals import Refusal
+from ._schema import build_schema, dump_schema
 from ._states import (
     Criticality,
     MemberState,
@@ -47,23 +72,29 @@
 __all__ = [
     "DEFAULT_RETRY_CREDITS",
     "DEFAULT_TIMEOUT_S",
+    "KEY_ID_CHARS",
+    "MAX_TIMEOUT_MS",
     "AccountId",
     "Address",
     "ChainId",
     "Change",
     "ConfigVersion",
     "Contract",
+    "ContractDocument",
     "Criticality",
     "DomainName",
+    "Finding",
     "IssueKey",
     "Key",
     "KeyDigest",
+    "Loaded",
     "LogEntry",
     "Member",
     "MemberState",
     "NodeId",
     "Objectives",
     "OperationId",
+    "Place",
     "PutContract",
     "PutService",
     "Refusal",
@@ -76,11 +107,28 @@
     "Semantics",
     "Service",
     "ServiceName",
+    "Severity",
     "Snapshot",
+    "Source",
     "VersionGap",
     "WithdrawKey",
     "apply_entry",
     "authenticate",
+    "build_schema",
+    "check_data",
+    "check_document",
+    "describe_change",
+    "diff_document",
     "digest_key",
+    "dump_document",
+    "dump_schema",
     "find_route",
+    "format_path",
+    "from_snapshot",
+    "has_errors",
+    "load_document",
+    "load_model",
+    "suggest",
+    "to_contract",
+    "to_service",
 ]
--- /dev/null
+++ b/packages/endivebeam-model/src/endivebeam_model/_loading.py
@@ -0,0 +1,139 @@
+"""Checks the data of a document against a pydantic model, with places."""
+
+import difflib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+from pydantic import BaseModel, ValidationError
+
+from ._findings import Finding, Path, Source, has_errors
+from ._yaml import read_yaml
+
+M = TypeVar("M", bound=BaseModel)
+
+MAX_SHOWN_CHARS = 60
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Loaded(Generic[M]):
+    """A document that was read; ``value`` is None when a finding is an error."""
+
+    value: M | None
+    source: Source
+    findings: list[Finding]
+
+
+def load_model(
+    kind: type[M],
+    text: str,
+    file: str,
+    *,
+    overrides: Mapping[str, object] | None = None,
+) -> Loaded[M]:
+    """Read a YAML text as a model and report all findings together.
+
+    ``overrides`` replace fields at the top of the document.
+    """
+    source, findings = read_yaml(text, file)
+    if has_errors(findings) and source.data is None:
+        return Loaded(value=None, source=source, findings=findings)
+    data = source.data
+    if isinstance(data, dict) and overrides:
+        data = {**data, **overrides}
+    value, wrong = check_data(kind, data, source)
+    findings = _without_repeats([*findings, *wrong])
+    if has_errors(findings):
+        value = None
+    return Loaded(value=value, source=source, findings=findings)
+
+
+def check_data(
+    kind: type[M], data: object, source: Source
+) -> tuple[M | None, list[Finding]]:
+    """Return the model of plain data, or None and every finding."""
+    try:
+        return kind.model_validate(data), []
+    except ValidationError as error:
+        schema = kind.model_json_schema()
+        errors = error.errors(include_url=False)
+        return None, [_describe_error(e, schema, source) for e in errors]
+
+
+def suggest(name: str, known: list[str]) -> str:
+    """Return what to do about an unknown name.
+
+    >>> suggest("bursts", ["burst", "account"])
+    'did you mean burst?'
+    """
+    close = difflib.get_close_matches(name, known, n=1, cutoff=0.5)
+    if close:
+        return f"did you mean {close[0]}?"
+    if not known:
+        return "remove it"
+    return f"use one of {', '.join(sorted(known))}"
+
+
+def _describe_error(
+    error: Mapping[str, Any], schema: dict[str, Any], source: Source
+) -> Finding:
+    path: Path = tuple(part for part in error["loc"] if part != "[key]")
+    field = _find_schema(schema, path)
+    if error["type"] == "extra_forbidden":
+        parent = _find_schema(schema, path[:-1])
+        known = list(parent.get("properties", {}))
+        message = f"unknown field; {suggest(str(path[-1]), known)}"
+    elif error["type"] == "missing":
+        message = _with_hint("required field is missing; add it", field)
+    else:
+        shown = _shorten(error.get("input"))
+        reason = str(error["msg"]).removeprefix("Value error, ")
+        reason = reason[:1].lower() + reason[1:]
+        message = _with_hint(f"{reason}, got {shown}", field)
+    return source.make_finding(path, message)
+
+
+def _with_hint(message: str, field: Mapping[str, Any]) -> str:
+    hint = field.get("description")
+    return f"{message}; {hint}" if hint else message
+
+
+def _shorten(value: object) -> str:
+    text = repr(value)
+    if len(text) <= MAX_SHOWN_CHARS:
+        return text
+    return text[:MAX_SHOWN_CHARS] + "..."
+
+
+def _find_schema(schema: dict[str, Any], path: Path) -> dict[str, Any]:
+    """Follow a path through a JSON Schema; return {} where it ends."""
+    current = schema
+    for part in path:
+        current = _resolve(schema, current)
+        if isinstance(part, int):
+            current = current.get("items", {})
+        else:
+            current = current.get("properties", {}).get(part, {})
+    described = current.get("description")
+    resolved = dict(_resolve(schema, current))
+    if described:
+        resolved["description"] = described
+    return resolved
+
+
+def _resolve(schema: dict[str, Any], part: dict[str, Any]) -> dict[str, Any]:
+    for option in part.get("anyOf", []):
+        if option.get("type") != "null":
+            part = option
+            break
+    reference = part.get("$ref")
+    if reference is None:
+        return part
+    found: dict[str, Any] = schema["$defs"][reference.rpartition("/")[2]]
+    return found
+
+
+def _without_repeats(findings: list[Finding]) -> list[Finding]:
+    return sorted(
+        dict.fromkeys(findings), key=lambda f: (f.file, f.line, f.column, f.path)
+    )
