Guard changes of operators with entity tags and operation ids

The API took one condition on the whole configuration, so that any two operators collided. A repeated request was found only by its version, bodies were read whole before their size was checked, and values were not checked.

Changes carry the entity tag of their object, or the version of the whole configuration as before. A change of another object no longer makes one fail: the commit is tried again on the new version. A repeated operation id returns the first result. 412 carries the current object. Adds operator roles, pages, the audit record, versions heard per failure domain, drain, readiness and an OpenAPI document that is made from the table of routes.

A state machine commits through two nodes and a failing table and compares with the log.

--- a/packages/endivebeam-model/src/endivebeam_model/__init__.py
+++ b/packages/endivebeam-model/src/endivebeam_model/__init__.py
@@ -1,5 +1,6 @@
 """Contracts, routes, configuration and member records of endivebeam."""
 
+from ._change_checks import check_change
 from ._changes import (
     Change,
     IssueKey,
@@ -68,8 +69,10 @@
     RunStatus,
     Semantics,
 )
+from ._tags import ABSENT_TAG, find_object, make_tag
 
 __all__ = [
+    "ABSENT_TAG",
     "DEFAULT_RETRY_CREDITS",
     "DEFAULT_TIMEOUT_S",
     "KEY_ID_CHARS",
@@ -115,6 +118,7 @@
     "apply_entry",
     "authenticate",
     "build_schema",
+    "check_change",
     "check_data",
     "check_document",
     "describe_change",
@@ -122,12 +126,14 @@
     "digest_key",
     "dump_document",
     "dump_schema",
+    "find_object",
     "find_route",
     "format_path",
     "from_snapshot",
     "has_errors",
     "load_document",
     "load_model",
+    "make_tag",
     "suggest",
     "to_contract",
     "to_service",
--- /dev/null
+++ b/packages/endivebeam-model/src/endivebeam_model/_change_checks.py
@@ -0,0 +1,96 @@
+"""Checks of one change against the configuration in force."""
+
+import re
+
+from pydantic import ValidationError
+
+from ._changes import (
+    Change,
+    IssueKey,
+    PutContract,
+    PutService,
+    RemoveService,
+    WithdrawKey,
+)
+from ._contracts import Contract, Key, Snapshot
+from ._conversion import from_snapshot
+from ._findings import Path, format_path
+from ._ids import KeyDigest, ServiceName
+from ._loading import suggest
+
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+
+
+def check_change(change: Change, snapshot: Snapshot) -> list[str]:
+    """Return why a change must not be committed; empty when it may be.
+
+    The rules are those of the contract document, so that no interface
+    accepts what the document refuses.
+    """
+    match change:
+        case PutContract(contract=contract):
+            alone = Snapshot(contracts={contract.account: contract})
+            return _check_fields(alone) + _check_services(contract, snapshot)
+        case PutService(service=service):
+            return _check_fields(Snapshot(services={service.service: service}))
+        case RemoveService(service=name):
+            return _check_unused(name, snapshot)
+        case IssueKey(key=key):
+            return _check_digest(key.digest) + _check_key(key, snapshot)
+        case WithdrawKey(digest=digest):
+            return _check_digest(digest)
+    return []
+
+
+def _check_fields(alone: Snapshot) -> list[str]:
+    try:
+        from_snapshot(alone)
+    except ValidationError as error:
+        return [
+            f"{_format_loc(e['loc'])}: {e['msg']}; change the value"
+            for e in error.errors(include_url=False)
+        ]
+    return []
+
+
+def _format_loc(loc: Path) -> str:
+    return format_path(loc) or "value"
+
+
+def _check_services(contract: Contract, snapshot: Snapshot) -> list[str]:
+    known = list(snapshot.services)
+    return [
+        f"service {name} is not defined; "
+        + (suggest(name, known) if known else "add the service first")
+        for name in contract.services
+        if name not in snapshot.services
+    ]
+
+
+def _check_unused(name: ServiceName, snapshot: Snapshot) -> list[str]:
+    users = sorted(c.account for c in snapshot.contracts.values() if name in c.services)
+    if not users:
+        return []
+    shown = ", ".join(users[:5])
+    return [f"service {name} is named in the contracts of {shown}; change these first"]
+
+
+def _check_key(key: Key, snapshot: Snapshot) -> list[str]:
+    if key.account not in snapshot.contracts:
+        known = list(snapshot.contracts)
+        advice = suggest(key.account, known) if known else "add its contract first"
+        return [f"account {key.account} has no contract; {advice}"]
+    if key.withdrawn:
+        return ["a key is issued before it is withdrawn; leave out withdrawn"]
+    old = snapshot.keys.get(key.digest)
+    if old is None or old == key:
+        return []
+    if old.withdrawn:
+        return ["this key was withdrawn for good; issue a new one"]
+    return [f"this key belongs to account {old.account}; issue a new one"]
+
+
+def _check_digest(digest: KeyDigest) -> list[str]:
+    if _DIGEST.fullmatch(digest):
+        return []
+    return ["a key is named by its SHA-256 digest in 64 lower-case hex digits"]
--- a/packages/endivebeam-model/src/endivebeam_model/_loading.py
+++ b/packages/endivebeam-model/src/endivebeam_model/_loading.py
@@ -1,7 +1,7 @@
 """Checks the data of a document against a pydantic model, with places."""
 
 import difflib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
@@ -13,6 +13,7 @@
 M = TypeVar("M", bound=BaseModel)
 
 MAX_SHOWN_CHARS = 60
+MAX_SHOWN_NAMES = 20
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -60,18 +61,19 @@
         return None, [_describe_error(e, schema, source) for e in errors]
 
 
-def suggest(name: str, known: list[str]) -> str:
+def suggest(name: str, known: Iterable[str]) -> str:
     """Return what to do about an unknown name.
 
     >>> suggest("bursts", ["burst", "account"])
     'did you mean burst?'
     """
-    close = difflib.get_close_matches(name, known, n=1, cutoff=0.5)
+    names = sorted(known)
+    close = difflib.get_close_matches(name, names, n=1, cutoff=0.5)
     if close:
         return f"did you mean {close[0]}?"
-    if not known:
+    if not names:
         return "remove it"
-    return f"use one of {', '.join(sorted(known))}"
+    return f"use one of {', '.join(names[:MAX_SHOWN_NAMES])}"
 
 
 def _describe_error(
--- a/packages/endivebeam-node/src/endivebeam_node/_admin.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_admin.py
@@ -1,68 +1,77 @@
 """The administration API."""
 
-import datetime
-import hashlib
-import hmac
+import re
 from collections.abc import Awaitable, Callable
 
+import anyio
 import msgspec
-from returns.result import Failure, Success
+from loguru import logger
+from returns.result import Success
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
 from endivebeam_model import (
-    Change,
+    ABSENT_TAG,
+    KEY_ID_CHARS,
     ConfigVersion,
+    Key,
     LogEntry,
-    Member,
-    OperationId,
+    MemberState,
     WithdrawKey,
+    find_object,
+    make_tag,
 )
-from endivebeam_store import ConfigLog, Conflict, Unavailable
-
-from ._config import ConfigCopy
+from endivebeam_store import ConfigLog
+
+from ._admin_http import (
+    MAX_PAGE,
+    ApiError,
+    authenticate_operator,
+    cut_page,
+    fail,
+    read_body,
+    read_number,
+    reply,
+)
+from ._admin_types import (
+    AdminError,
+    AuditItem,
+    AuditPage,
+    ChangeReply,
+    ChangeRequest,
+    ContractItem,
+    ContractPage,
+    DrainRequest,
+    KeyItem,
+    KeyPage,
+    ReadyReply,
+    ServiceItem,
+    ServicePage,
+    StatusReply,
+    VersionsReply,
+)
+from ._commits import (
+    Accepted,
+    Asked,
+    Changed,
+    Committer,
+    Emergency,
+    OnCommitted,
+    OnWithdrawn,
+    Refused,
+    StoreDown,
+)
+from ._config import ConfigCopy, redact_entry
+from ._endpoints import ENDPOINTS
 from ._members import Members
+from ._openapi import Endpoint, dump_openapi
 from ._settings import Operator
+from ._versions import HeardVersions
 
-MAX_CHANGE_BYTES = 256 << 10
-
-OnCommitted = Callable[[LogEntry], None]
-OnWithdrawn = Callable[[WithdrawKey], Awaitable[None]]
-
-
-class ChangeRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A change that an operator asks for.
-
-    ``expected_version`` is the configuration version that the operator saw.
-    """
-
-    op_id: OperationId
-    expected_version: ConfigVersion
-    change: Change
-
-
-class ChangeReply(msgspec.Struct, frozen=True, kw_only=True):
-    """The version at which a change is in force."""
-
-    version: ConfigVersion
-    durable: bool
-
-
-class AdminError(msgspec.Struct, frozen=True, kw_only=True):
-    """Why a request of an operator failed and what to do next."""
-
-    reason: str
-    message: str
-
-
-class StatusReply(msgspec.Struct, frozen=True, kw_only=True):
-    """What this node knows about itself and the fleet."""
-
-    node_id: str
-    config_version: ConfigVersion
-    members: list[Member]
+MAX_AUDIT_PAGE = 100
+MAX_VERSION = 2**53
 
 
 def build_admin_app(
@@ -73,130 +82,265 @@
     log: ConfigLog,
     on_committed: OnCommitted,
     on_withdrawn: OnWithdrawn,
+    versions: HeardVersions | None = None,
+    on_drain: Callable[[], None] = lambda: None,
+    render_metrics: Callable[[], bytes] = lambda: b"",
 ) -> Starlette:
     """Return the ASGI application of the administration API."""
     handlers = _Handlers(
-        operators=operators,
         config=config,
         members=members,
         log=log,
-        on_committed=on_committed,
-        on_withdrawn=on_withdrawn,
+        committer=Committer(
+            config=config,
+            log=log,
+            on_committed=on_committed,
+            on_withdrawn=on_withdrawn,
+        ),
+        versions=versions or HeardVersions(),
+        on_drain=on_drain,
+        render_metrics=render_metrics,
     )
     return Starlette(
         routes=[
-            Route("/v1/config", handlers.read_config, methods=["GET"]),
-            Route("/v1/changes", handlers.change, methods=["POST"]),
-            Route("/v1/status", handlers.read_status, methods=["GET"]),
-            Route("/healthz", handlers.read_health, methods=["GET"]),
+            Route(
+                endpoint.path,
+                _guard(getattr(handlers, endpoint.handler), operators, endpoint),
+                methods=[endpoint.method],
+            )
+            for endpoint in ENDPOINTS
         ]
     )
 
 
+def _guard(
+    handler: Callable[[Request, Operator | None], Awaitable[Response]],
+    operators: list[Operator],
+    endpoint: Endpoint,
+) -> Callable[[Request], Awaitable[Response]]:
+    async def serve(request: Request) -> Response:
+        try:
+            operator = authenticate_operator(request, operators, endpoint.access)
+            return await handler(request, operator)
+        except ApiError as error:
+            return reply(error.error, status=error.status)
+
+    return serve
+
+
 class _Handlers:
     def __init__(
         self,
         *,
-        operators: list[Operator],
         config: ConfigCopy,
         members: Members,
         log: ConfigLog,
-        on_committed: OnCommitted,
-        on_withdrawn: OnWithdrawn,
+        committer: Committer,
+        versions: HeardVersions,
+        on_drain: Callable[[], None],
+        render_metrics: Callable[[], bytes],
     ) -> None:
-        self._operators = operators
         self._config = config
         self._members = members
         self._log = log
-        self._on_committed = on_committed
-        self._on_withdrawn = on_withdrawn
+        self._committer = committer
+        self._versions = versions
+        self._on_drain = on_drain
+        self._render_metrics = render_metrics
+        self._draining = False
 
-    async def read_health(self, request: Request) -> Response:
+    async def read_health(self, request: Request, operator: object) -> Response:
         return Response("ok\n")
 
-    async def read_config(self, request: Request) -> Response:
-        if self._operator(request) is None:
-            return _unauthorized()
-        return _reply(200, self._config.snapshot)
-
-    async def read_status(self, request: Request) -> Response:
-        if self._operator(request) is None:
-            return _unauthorized()
+    async def read_ready(self, request: Request, operator: object) -> Response:
+        reasons = []
+        if self._draining or self._members.local.state is MemberState.DRAINING:
+            reasons.append("the node is draining; send calls to another node")
+        elif self._members.local.state is not MemberState.SERVING:
+            reasons.append("the target has not announced itself; start the target")
+        if self._config.version == 0:
+            reasons.append("no configuration is known; check the platform and peers")
+        ready = ReadyReply(ready=not reasons, reasons=reasons)
+        return reply(ready, status=503 if reasons else 200)
+
+    async def read_metrics(self, request: Request, operator: object) -> Response:
+        content = self._render_metrics()
+        return Response(content, media_type="text/plain; version=0.0.4")
+
+    async def read_openapi(self, request: Request, operator: object) -> Response:
+        return Response(dump_openapi(ENDPOINTS), media_type="application/json")
+
+    async def read_config(self, request: Request, operator: object) -> Response:
+        snapshot = self._config.snapshot
+        return reply(snapshot, etag=f"v{snapshot.version}")
+
+    async def read_status(self, request: Request, operator: object) -> Response:
+        local = self._members.local
         status = StatusReply(
-            node_id=self._members.local.node_id,
+            node_id=local.node_id,
             config_version=self._config.version,
             members=self._members.all(),
+            region=local.region,
+            domain=local.domain,
+            draining=self._draining or local.state is MemberState.DRAINING,
+            emergency_withdrawals=len(self._config.withdrawn),
+            versions=self._summarize(self._config.version).domains,
         )
-        return _reply(200, status)
-
-    async def change(self, request: Request) -> Response:
-        operator = self._operator(request)
-        if operator is None:
-            return _unauthorized()
-        body = await request.body()
-        if len(body) > MAX_CHANGE_BYTES:
-            return _error(413, "too_large", f"send at most {MAX_CHANGE_BYTES} bytes")
-        try:
-            asked = msgspec.json.decode(body, type=ChangeRequest)
-        except msgspec.DecodeError as error:
-            return _error(400, "bad_request", str(error))
-        return await self._commit(asked, operator)
-
-    async def _commit(self, asked: ChangeRequest, operator: Operator) -> Response:
-        now = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
-        answer = await self._log.append(
-            change=asked.change,
-            expected=asked.expected_version,
-            op_id=asked.op_id,
-            operator=operator.name,
-            at=now,
-        )
-        match answer:
-            case Success(entry):
-                self._on_committed(entry)
-                return _reply(200, ChangeReply(version=entry.version, durable=True))
-            case Failure(Conflict()):
-                return _error(
-                    412,
-                    "conflict",
-                    "another change came first; read the configuration and try again",
-                )
-            case Failure(Unavailable(message=message)):
-                return await self._without_store(asked.change, message)
-        raise AssertionError("a result is a success or a failure")
-
-    async def _without_store(self, change: Change, message: str) -> Response:
-        if isinstance(change, WithdrawKey):
-            await self._on_withdrawn(change)
-            reply = ChangeReply(version=self._config.version, durable=False)
-            return _reply(202, reply)
-        return _error(
-            503, "store_unavailable", f"{message}; send the same op_id again later"
+        return reply(status)
+
+    async def read_versions(self, request: Request, operator: object) -> Response:
+        current = self._config.version
+        asked = read_number(request, "at_least", current, high=MAX_VERSION)
+        return reply(self._summarize(ConfigVersion(asked)))
+
+    def _summarize(self, version: ConfigVersion) -> VersionsReply:
+        now = anyio.current_time()
+        local = self._members.local
+        self._versions.record(local.node_id, self._config.version, now)
+        domains = self._versions.summarize(self._members.all(), version, now)
+        return VersionsReply(version=version, domains=domains)
+
+    async def list_contracts(self, request: Request, operator: object) -> Response:
+        page, following = cut_page(request, self._config.snapshot.contracts)
+        items = [ContractItem(etag=make_tag(c), contract=c) for c in page]
+        return reply(ContractPage(items=items, next=following))
+
+    async def read_contract(self, request: Request, operator: object) -> Response:
+        name = request.path_params["name"]
+        contract = self._config.snapshot.contracts.get(name)
+        if contract is None:
+            raise fail(404, "not_found", f"account {name} has no contract; list them")
+        tag = make_tag(contract)
+        return reply(ContractItem(etag=tag, contract=contract), etag=tag)
+
+    async def list_services(self, request: Request, operator: object) -> Response:
+        page, following = cut_page(request, self._config.snapshot.services)
+        items = [ServiceItem(etag=make_tag(s), service=s) for s in page]
+        return reply(ServicePage(items=items, next=following))
+
+    async def read_service(self, request: Request, operator: object) -> Response:
+        name = request.path_params["name"]
+        service = self._config.snapshot.services.get(name)
+        if service is None:
+            raise fail(404, "not_found", f"service {name} is not defined; list them")
+        tag = make_tag(service)
+        return reply(ServiceItem(etag=tag, service=service), etag=tag)
+
+    async def list_keys(self, request: Request, operator: object) -> Response:
+        account = request.query_params.get("account")
+        keys = self._config.snapshot.keys
+        chosen = {d: k for d, k in keys.items() if account in (None, k.account)}
+        page, following = cut_page(request, chosen)
+        return reply(KeyPage(items=[self._key_item(k) for k in page], next=following))
+
+    def _key_item(self, key: Key) -> KeyItem:
+        return KeyItem(
+            etag=make_tag(key),
+            id=key.digest[:KEY_ID_CHARS],
+            digest=key.digest,
+            account=key.account,
+            label=key.label,
+            withdrawn=key.withdrawn or key.digest in self._config.withdrawn,
         )
 
-    def _operator(self, request: Request) -> Operator | None:
-        scheme, _, token = request.headers.get("authorization", "").partition(" ")
-        if scheme.lower() != "bearer":
-            return None
-        digest = hashlib.sha256(token.strip().encode()).hexdigest()
-        found = None
-        for operator in self._operators:
-            if hmac.compare_digest(operator.token_sha256, digest):
-                found = operator
-        return found
-
-
-def _reply(status: int, value: msgspec.Struct) -> Response:
-    return Response(
-        msgspec.json.encode(value), status_code=status, media_type="application/json"
+    async def read_audit(self, request: Request, operator: object) -> Response:
+        head = self._config.version
+        before = read_number(request, "before", head + 1, high=MAX_VERSION)
+        limit = max(1, read_number(request, "limit", 20, high=MAX_PAGE))
+        latest = min(before - 1, head)
+        oldest = max(1, latest - min(limit, MAX_AUDIT_PAGE) + 1)
+        entries = [await self._entry(v) for v in range(latest, oldest - 1, -1)]
+        following = str(oldest) if oldest > 1 else None
+        items = [_audit_item(entry) for entry in entries]
+        return reply(AuditPage(items=items, next=following))
+
+    async def _entry(self, version: int) -> LogEntry:
+        recent = self._config.find_entry(ConfigVersion(version))
+        if recent is not None:
+            return recent
+        match await self._log.read_entry(ConfigVersion(version)):
+            case Success(LogEntry() as entry):
+                return entry
+        message = f"version {version} could not be read from the table; try again"
+        raise fail(503, "store_unavailable", message)
+
+    async def drain(self, request: Request, operator: Operator) -> Response:
+        asked = await read_body(request, DrainRequest)
+        local = self._members.local.node_id
+        if asked.node_id != local:
+            message = f"this is node {local}; send the request to {asked.node_id}"
+            raise fail(409, "other_node", message)
+        if not self._draining:
+            logger.info("admin: {} drains node {}", operator.name, local)
+        self._draining = True
+        self._on_drain()
+        return reply(ReadyReply(ready=False, reasons=["draining"]), status=202)
+
+    async def change(self, request: Request, operator: Operator) -> Response:
+        body = await read_body(request, ChangeRequest)
+        asked = _with_conditions(request, body, operator)
+        outcome = await self._committer.commit(asked)
+        match outcome:
+            case Accepted(entry):
+                done = ChangeReply(version=entry.version, durable=True)
+                current = find_object(self._config.snapshot, body.change)
+                return reply(done, etag=make_tag(current))
+            case Emergency(version):
+                return reply(ChangeReply(version=version, durable=False), status=202)
+            case Changed(version=version, current=current):
+                raise _conflict(version, current)
+            case Refused(reasons):
+                raise fail(422, "refused", "; ".join(reasons))
+            case StoreDown(message):
+                message = f"{message}; send the same op_id again"
+                raise fail(503, "store_unavailable", message)
+
+
+def _conflict(version: ConfigVersion, current: msgspec.Struct | None) -> ApiError:
+    message = "another change came first; compare with `current` and send again"
+    error = AdminError(
+        reason="conflict", message=message, version=version, current=current
+    )
+    return ApiError(412, error)
+
+
+def _with_conditions(
+    request: Request, body: ChangeRequest, operator: Operator
+) -> Asked:
+    """Return the change with the conditions of body and headers."""
+    expected = body.expected_version
+    tag = None
+    if request.headers.get("if-none-match") == "*":
+        tag = ABSENT_TAG
+    match_header = request.headers.get("if-match")
+    if match_header is not None:
+        name = match_header.strip().strip('"')
+        if re.fullmatch(r"v[0-9]{1,15}", name):
+            expected = ConfigVersion(int(name[1:]))
+        else:
+            tag = name
+    # A withdrawal is final and urgent, so that it needs no condition.
+    free = isinstance(body.change, WithdrawKey)
+    if expected is None and tag is None and not free:
+        message = (
+            "send the entity tag that you read as If-Match, or If-None-Match: * "
+            "to create an object"
+        )
+        raise fail(428, "condition_required", message)
+    return Asked(
+        op_id=body.op_id,
+        operator=operator.name,
+        change=body.change,
+        expected_version=expected,
+        tag=tag,
     )
 
 
-def _error(status: int, reason: str, message: str) -> Response:
-    return _reply(status, AdminError(reason=reason, message=message))
-
-
-def _unauthorized() -> Response:
-    return _error(
-        401, "unauthorized", "send the operator token as Authorization: Bearer"
+def _audit_item(entry: LogEntry) -> AuditItem:
+    return AuditItem(
+        version=entry.version,
+        at=entry.at,
+        operator=entry.operator,
+        op_id=entry.op_id,
+        description=redact_entry(entry),
     )
--- a/packages/endivebeam-node/src/endivebeam_node/_config.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_config.py
@@ -12,6 +12,7 @@
     IssueKey,
     KeyDigest,
     LogEntry,
+    OperationId,
     Snapshot,
     WithdrawKey,
     apply_entry,
@@ -59,6 +60,20 @@
             return found
         return []
 
+    def find_operation(self, op_id: OperationId) -> LogEntry | None:
+        """Return the recent entry of an operation."""
+        for entry in reversed(self._recent):
+            if entry.op_id == op_id:
+                return entry
+        return None
+
+    def find_entry(self, version: ConfigVersion) -> LogEntry | None:
+        """Return the entry of a version when it is recent."""
+        for entry in reversed(self._recent):
+            if entry.version == version:
+                return entry
+        return None
+
     def withdraw(self, digest: KeyDigest) -> bool:
         """Withdraw a key ahead of the log; return whether it is new."""
         if digest in self.withdrawn:
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -62,6 +62,7 @@
 from ._settings import Settings
 from ._sync import Synchronizer
 from ._targets import Announcement, LocalTarget
+from ._versions import HeardVersions
 
 MAX_CALLER_CONNECTIONS = 2048
 PORTS_CHECK_PERIOD_S = 0.05
@@ -89,6 +90,8 @@
         self.target = LocalTarget()
         self.in_flight = InFlight()
         self.members = Members(local=_local_member(settings))
+        self.versions = HeardVersions()
+        self._stop = anyio.Event()
         self._client = httpx.AsyncClient(base_url=settings.platform_url, timeout=5.0)
         self.table = HttpTable(client=self._client)
         self.log = ConfigLog(table=self.table)
@@ -156,7 +159,7 @@
             )
             logger.info("node: {} listens on {}", settings.node_id, ports)
             _write_ports(settings, ports)
-            await _wait_for_signal()
+            await _wait_for_stop(self._stop)
             await self._drain()
             servers.cancel_scope.cancel()
         await self.peers.close()
@@ -207,6 +210,8 @@
             log=self.log,
             on_committed=self._on_committed,
             on_withdrawn=self._on_withdrawn,
+            versions=self.versions,
+            on_drain=self._stop.set,
         )
         config = HypercornConfig()
         config.bind = [f"fd://{listener.fileno()}"]
@@ -220,7 +225,10 @@
             case CallRequest():
                 outcome = await self.calls.serve(request)
                 return _with_id(outcome, request.request_id)
-            case Heartbeat(request_id=request_id):
+            case Heartbeat(request_id=request_id, config_version=version):
+                if stream.remote is not None:
+                    now = anyio.current_time()
+                    self.versions.record(stream.remote.node_id, version, now)
                 return HeartbeatEcho(
                     request_id=request_id, config_version=self.config.version
                 )
@@ -244,6 +252,10 @@
         return Heartbeat(request_id=request_id, config_version=self.config.version)
 
     def _on_echo(self, address: Address, echo: HeartbeatEcho) -> None:
+        node_id = self.peers.find_node(address)
+        if node_id is not None:
+            now = anyio.current_time()
+            self.versions.record(node_id, echo.config_version, now)
         if echo.config_version > self.config.version:
             self._tasks.start_soon(self.sync.pull_entries, address, echo.config_version)
 
@@ -324,10 +336,18 @@
     partial.rename(path)
 
 
-async def _wait_for_signal() -> None:
+async def _wait_for_stop(stop: anyio.Event) -> None:
+    """Return when a signal arrives or an operator drains the node."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_set_on_signal, stop)
+        await stop.wait()
+        tasks.cancel_scope.cancel()
+
+
+async def _set_on_signal(stop: anyio.Event) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            return
+            stop.set()
 
 
 def _with_id(outcome: Outcome, request_id: int) -> Outcome:
--- a/packages/endivebeam-node/src/endivebeam_node/_peers.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_peers.py
@@ -6,7 +6,7 @@
 import anyio.abc
 from loguru import logger
 
-from endivebeam_model import Address
+from endivebeam_model import Address, NodeId
 from endivebeam_wire import (
     Answer,
     FrameError,
@@ -86,6 +86,13 @@
                 return stream
             return await self._open(address)
 
+    def find_node(self, address: Address) -> NodeId | None:
+        """Return the node at the other end of an open stream."""
+        stream = self._streams.get(address)
+        if stream is None or stream.remote is None:
+            return None
+        return stream.remote.node_id
+
     async def ask(self, address: Address, request: Request) -> Reply:
         """Send a request to a node and return its reply.
 
--- a/packages/endivebeam-node/src/endivebeam_node/_settings.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_settings.py
@@ -1,6 +1,7 @@
 """Settings of the daemon, read from YAML."""
 
 from pathlib import Path
+from typing import Literal
 
 import yaml
 from pydantic import BaseModel, ConfigDict, Field
@@ -16,12 +17,17 @@
 
 
 class Operator(BaseModel):
-    """An operator and the digest of the token that authenticates them."""
+    """An operator and the digest of the token that authenticates them.
+
+    An operator with the role ``read`` may look at everything and change
+    nothing.
+    """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     name: str
     token_sha256: str = Field(pattern="^[0-9a-f]{64}$")
+    role: Literal["admin", "read"] = "admin"
 
 
 class Settings(BaseModel):
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_versions.py
@@ -0,0 +1,96 @@
+"""Configuration versions that this node has heard of from other nodes."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from endivebeam_model import ConfigVersion, DomainName, Member, MemberState, NodeId
+
+MAX_NODES = 32_768
+MAX_LISTED = 20
+FRESH_S = 5.0
+
+_GONE = frozenset({MemberState.LEFT, MemberState.DEAD})
+
+
+class DomainVersions(msgspec.Struct, frozen=True, kw_only=True):
+    """How far a failure domain is, as far as this node knows.
+
+    ``nodes`` counts live members, ``heard`` those heard of in the last
+    seconds, ``in_force`` those of them that have the version. ``lagging``
+    lists at most 20 nodes that were heard with a lower version.
+    """
+
+    domain: DomainName
+    nodes: int
+    heard: int
+    in_force: int
+    lagging: list[NodeId]
+
+    @property
+    def complete(self) -> bool:
+        """Whether some node was heard and every heard node has the version."""
+        return self.heard > 0 and self.in_force == self.heard
+
+
+class _Heard(msgspec.Struct, frozen=True):
+    version: ConfigVersion
+    at: float
+
+
+class HeardVersions:
+    """The latest configuration version heard from each node.
+
+    A node hears from the peers it has streams with: from the whole of a small
+    fleet, from a few neighbors in a large one.
+    """
+
+    def __init__(self) -> None:
+        self._heard: dict[NodeId, _Heard] = {}
+
+    def record(self, node_id: NodeId, version: ConfigVersion, now: float) -> None:
+        """Keep what a heartbeat said; ``now`` is monotonic."""
+        if node_id not in self._heard and len(self._heard) >= MAX_NODES:
+            oldest = min(self._heard, key=lambda name: self._heard[name].at)
+            del self._heard[oldest]
+        self._heard[node_id] = _Heard(version, now)
+
+    def find(self, node_id: NodeId) -> ConfigVersion | None:
+        """Return the latest version heard from a node."""
+        heard = self._heard.get(node_id)
+        return None if heard is None else heard.version
+
+    def summarize(
+        self, members: Iterable[Member], version: ConfigVersion, now: float
+    ) -> list[DomainVersions]:
+        """Return for each failure domain how far a version has come."""
+        by_domain: dict[DomainName, list[NodeId]] = {}
+        for member in members:
+            if member.state not in _GONE:
+                by_domain.setdefault(member.domain, []).append(member.node_id)
+        return [
+            self._summarize_domain(domain, by_domain[domain], version, now)
+            for domain in sorted(by_domain)
+        ]
+
+    def _summarize_domain(
+        self,
+        domain: DomainName,
+        nodes: list[NodeId],
+        version: ConfigVersion,
+        now: float,
+    ) -> DomainVersions:
+        fresh = {
+            name: heard.version
+            for name in nodes
+            if (heard := self._heard.get(name)) is not None
+            and now - heard.at <= FRESH_S
+        }
+        lagging = sorted(name for name, known in fresh.items() if known < version)
+        return DomainVersions(
+            domain=domain,
+            nodes=len(nodes),
+            heard=len(fresh),
+            in_force=len(fresh) - len(lagging),
+            lagging=lagging[:MAX_LISTED],
+        )
--- /dev/null
+++ b/packages/endivebeam-node/tests/test_admin.py
@@ -0,0 +1,428 @@
+"""Tests of the administration API against a table in memory."""
+
+import hashlib
+import re
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpx
+import msgspec
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from returns.result import Failure, Success
+
+from endivebeam_model import (
+    AccountId,
+    Address,
+    Change,
+    ConfigVersion,
+    Contract,
+    DomainName,
+    Member,
+    MemberState,
+    NodeId,
+    OperationId,
+    PutContract,
+    RegionName,
+    ServiceName,
+    WithdrawKey,
+    make_tag,
+)
+from endivebeam_node._admin import build_admin_app
+from endivebeam_node._commits import Accepted, Asked, Changed, Committer, StoreDown
+from endivebeam_node._config import ConfigCopy
+from endivebeam_node._endpoints import ENDPOINTS
+from endivebeam_node._members import Members
+from endivebeam_node._openapi import Endpoint, dump_openapi
+from endivebeam_node._settings import Operator
+from endivebeam_node._versions import HeardVersions
+from endivebeam_store import (
+    Committed,
+    ConfigLog,
+    Conflict,
+    Row,
+    Transaction,
+    Unavailable,
+)
+
+OPENAPI_FILE = Path(__file__).parents[3] / "docs" / "openapi.json"
+TOKENS = {"admin": "token-of-ann", "read": "token-of-ben"}
+
+
+class MemoryTable:
+    """A table in memory that can be down or lose the answers of writes."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.down = False
+        self.lose_answers = False
+
+    async def read(self, key: str):
+        if self.down:
+            return Failure(Unavailable(message="the table is unavailable"))
+        return Success(self.rows.get(key))
+
+    async def commit(self, transaction: Transaction):
+        if self.down:
+            return Failure(Unavailable(message="the table is unavailable"))
+        for condition in transaction.conditions:
+            row = self.rows.get(condition.key)
+            if (0 if row is None else row.version) != condition.version:
+                return Failure(Conflict())
+        for put in transaction.puts:
+            old = self.rows.get(put.key)
+            version = 1 if old is None else old.version + 1
+            self.rows[put.key] = Row(
+                key=put.key,
+                value=put.value,
+                version=version,
+                op_id=transaction.op_id,
+            )
+        if self.lose_answers:
+            return Failure(Unavailable(message="answer lost", maybe_applied=True))
+        return Success(Committed(op_id=transaction.op_id))
+
+
+class AdminNode:
+    """The administration API of one node over a shared table."""
+
+    def __init__(self, table: MemoryTable) -> None:
+        self.config = ConfigCopy()
+        self.versions = HeardVersions()
+        self.drains = 0
+        self.members = Members(local=make_member("node-1", "domain-a"))
+        self.log = ConfigLog(table=table)
+
+        async def withdraw(change: WithdrawKey) -> None:
+            self.config.withdraw(change.digest)
+
+        def count_drain() -> None:
+            self.drains += 1
+
+        self.app = build_admin_app(
+            operators=[
+                Operator(
+                    name=role,
+                    token_sha256=hashlib.sha256(token.encode()).hexdigest(),
+                    role=role,
+                )
+                for role, token in TOKENS.items()
+            ],
+            config=self.config,
+            members=self.members,
+            log=self.log,
+            on_committed=lambda entry: self.config.apply([entry]),
+            on_withdrawn=withdraw,
+            versions=self.versions,
+            on_drain=count_drain,
+        )
+
+    def send(self, method: str, path: str, *, role: str = "admin", **kwargs: Any):
+        token = TOKENS.get(role, role)
+        headers = {"authorization": f"Bearer {token}", **kwargs.pop("headers", {})}
+
+        async def ask() -> httpx.Response:
+            transport = httpx.ASGITransport(app=self.app)
+            async with httpx.AsyncClient(
+                transport=transport, base_url="http://node"
+            ) as client:
+                return await client.request(method, path, headers=headers, **kwargs)
+
+        return anyio.run(ask)
+
+    def change(
+        self, change: dict, *, op_id: str = "op", headers: Any = None, **extra: Any
+    ):
+        body = {"op_id": op_id, "change": change, **extra}
+        return self.send("POST", "/v1/changes", json=body, headers=headers or {})
+
+
+def make_member(name: str, domain: str) -> Member:
+    return Member(
+        node_id=NodeId(name),
+        incarnation=1,
+        sequence=0,
+        address=Address("127.0.0.1", 1),
+        region=RegionName("r"),
+        domain=DomainName(domain),
+        service=ServiceName("s"),
+        slots=1,
+        state=MemberState.SERVING,
+    )
+
+
+def put(account: str = "northfit", rate: float = 1.0, **extra: Any) -> dict:
+    contract = {"account": account, "rate_per_s": rate, "burst": 5.0, **extra}
+    return {"type": "put_contract", "contract": contract}
+
+
+@pytest.fixture
+def table() -> MemoryTable:
+    return MemoryTable()
+
+
+@pytest.fixture
+def node(table: MemoryTable) -> AdminNode:
+    return AdminNode(table)
+
+
+class TestAccess:
+    @pytest.mark.parametrize(
+        "endpoint", [e for e in ENDPOINTS if e.access > 0], ids=lambda e: e.handler
+    )
+    def test_every_endpoint_refuses_other_tokens(
+        self, node: AdminNode, endpoint: Endpoint
+    ):
+        """Guards against an endpoint that is left without authentication."""
+        path = re.sub(r"{\w+}", "x", endpoint.path)
+        assert node.send(endpoint.method, path, role="eb_client").status_code == 401
+        if endpoint.access > 1:
+            assert node.send(endpoint.method, path, role="read").status_code == 403
+
+    def test_large_body_is_refused_before_it_is_read_whole(self, node: AdminNode):
+        """Guards against a body that fills the memory of the node."""
+        sent = []
+
+        async def chunks() -> AsyncIterator[bytes]:
+            for _ in range(1000):
+                sent.append(1)
+                yield b"x" * 65536
+
+        answer = node.send("POST", "/v1/changes", content=chunks())
+        assert answer.status_code == 413
+        assert len(sent) < 20
+
+    def test_committed_description_is_that_of_the_code(self):
+        """Guards against documentation that differs from the API."""
+        assert OPENAPI_FILE.read_text() == dump_openapi(ENDPOINTS)
+
+
+class TestChanges:
+    def test_condition_is_required_and_holds_for_the_object(self, node: AdminNode):
+        """Guards against an operator who overwrites what another one wrote."""
+        assert node.change(put()).status_code == 428
+        created = node.change(put(), headers={"if-none-match": "*"})
+        assert (created.status_code, created.json()["version"]) == (200, 1)
+        tag = created.headers["etag"]
+        assert node.change(put("other"), op_id="2", expected_version=1).is_success
+        raised = node.change(put(rate=2.0), op_id="3", headers={"if-match": tag})
+        assert raised.json()["version"] == 3
+        late = node.change(put(rate=9.0), op_id="4", headers={"if-match": tag})
+        assert late.status_code == 412
+        assert late.json()["current"]["rate_per_s"] == 2.0
+        stale = node.change(put(rate=9.0), op_id="5", expected_version=1)
+        assert (stale.status_code, stale.json()["version"]) == (412, 3)
+
+    def test_repeated_operation_returns_the_first_result(self, node: AdminNode):
+        """Guards against a change that a retry applies twice."""
+        first = node.change(put(), expected_version=0)
+        node.change(put("other"), op_id="2", expected_version=1)
+        again = node.change(put(), expected_version=0)
+        assert (again.status_code, again.json()) == (200, first.json())
+        other = node.change(put(rate=7.0), expected_version=0)
+        assert other.status_code == 422
+
+    def test_repetition_reaches_a_node_that_has_not_seen_the_first(
+        self, node: AdminNode, table: MemoryTable
+    ):
+        """Guards against a lost answer that is repeated at another node."""
+        table.lose_answers = True
+        assert node.change(put(), expected_version=0).status_code == 503
+        table.lose_answers = False
+        other = AdminNode(table)
+        again = other.change(put(), expected_version=0)
+        assert (again.status_code, again.json()["version"]) == (200, 1)
+
+    def test_repetition_of_an_old_operation_is_found_in_the_table(
+        self, node: AdminNode, table: MemoryTable
+    ):
+        """Guards against a repetition refused by a node without recent entries."""
+        node.change(put(), expected_version=0)
+        node.change(put("other"), op_id="2", expected_version=1)
+        other = AdminNode(table)
+        other.config.snapshot = node.config.snapshot
+        again = other.change(put(), expected_version=0)
+        assert (again.status_code, again.json()["version"]) == (200, 1)
+
+    @pytest.mark.parametrize(
+        ("change", "message"),
+        [
+            (put(rate=-1.0), "greater than 0"),
+            (put(account="No Name"), "pattern"),
+            (put(services=["nothing"]), "not defined"),
+            ({"type": "withdraw_key", "digest": "ab"}, "SHA-256"),
+            ({"type": "issue_key", "key": {"digest": "a" * 64, "account": "x"}},
+             "no contract"),
+            ({"type": "put_service", "service": {"service": "s", "routes": [
+                {"path": "/", "timeout_s": 31.0}]}}, "30000"),
+        ],
+    )  # fmt: skip
+    def test_rules_of_the_document_hold_for_the_api(
+        self, node: AdminNode, change: dict, message: str
+    ):
+        """Guards against a value that the document refuses and the API takes."""
+        answer = node.change(change, expected_version=0)
+        assert answer.status_code == 422
+        assert message in answer.json()["message"]
+
+    def test_withdrawal_without_store_is_in_force_and_says_not_durable(
+        self, node: AdminNode, table: MemoryTable
+    ):
+        """Guards against a leaked key that works on while the store is down."""
+        table.down = True
+        digest = "a" * 64
+        answer = node.change({"type": "withdraw_key", "digest": digest})
+        assert (answer.status_code, answer.json()["durable"]) == (202, False)
+        assert digest in node.config.withdrawn
+        assert node.change(put(), op_id="2", expected_version=0).status_code == 503
+
+
+class TestReading:
+    def test_pages_list_every_contract_once(self, node: AdminNode):
+        """Guards against a page that skips or repeats an entry."""
+        for number in range(7):
+            node.change(put(f"a{number}"), op_id=str(number), expected_version=number)
+        names, after = [], ""
+        while after is not None:
+            page = node.send("GET", f"/v1/contracts?limit=3&after={after}").json()
+            names += [item["contract"]["account"] for item in page["items"]]
+            after = page.get("next")
+        assert names == [f"a{number}" for number in range(7)]
+
+    def test_audit_says_who_changed_what(self, node: AdminNode):
+        """Guards against a change without an author or a gap in the record."""
+        for number in range(3):
+            node.change(put(f"a{number}"), op_id=str(number), expected_version=number)
+        first = node.send("GET", "/v1/audit?limit=2").json()
+        rest = node.send("GET", f"/v1/audit?before={first['next']}").json()
+        items = first["items"] + rest["items"]
+        assert [item["version"] for item in items] == [3, 2, 1]
+        assert {item["operator"] for item in items} == {"admin"}
+        assert "a0" in items[2]["description"]
+
+    def test_drain_names_its_node(self, node: AdminNode):
+        """Guards against draining another node by a wrong address."""
+        wrong = node.send("POST", "/v1/drain", json={"node_id": "node-2"})
+        assert (wrong.status_code, node.drains) == (409, 0)
+        right = node.send("POST", "/v1/drain", json={"node_id": "node-1"})
+        assert (right.status_code, node.drains) == (202, 1)
+        ready = node.send("GET", "/readyz")
+        assert ready.status_code == 503
+        assert "draining" in ready.json()["reasons"][0]
+
+
+class TestVersions:
+    def test_lagging_and_silent_nodes_are_told_apart(self):
+        """Guards against a wait that ends before a node has the version."""
+        heard = HeardVersions()
+        members = [make_member(f"n{i}", f"domain-{'aab'[i]}") for i in range(3)]
+        heard.record(NodeId("n0"), ConfigVersion(5), 10.0)
+        heard.record(NodeId("n1"), ConfigVersion(4), 10.0)
+        first, second = heard.summarize(members, ConfigVersion(5), 11.0)
+        assert (first.nodes, first.heard, first.in_force) == (2, 2, 1)
+        assert (first.lagging, first.complete) == (["n1"], False)
+        assert (second.heard, second.complete) == (0, False)
+        heard.record(NodeId("n1"), ConfigVersion(5), 12.0)
+        first, _ = heard.summarize(members, ConfigVersion(5), 12.0)
+        assert first.complete
+        first, _ = heard.summarize(members, ConfigVersion(5), 90.0)
+        assert first.heard == 0
+
+    def test_gone_nodes_are_not_waited_for(self):
+        """Guards against a wait that a dead node holds up for good."""
+        heard = HeardVersions()
+        gone = msgspec.structs.replace(
+            make_member("n1", "domain-a"), state=MemberState.DEAD
+        )
+        heard.record(NodeId("n0"), ConfigVersion(5), 10.0)
+        heard.record(NodeId("n1"), ConfigVersion(4), 10.0)
+        members = [make_member("n0", "domain-a"), gone]
+        (only,) = heard.summarize(members, ConfigVersion(5), 10.0)
+        assert (only.nodes, only.complete) == (1, True)
+
+
+class CommitMachine(RuleBasedStateMachine):
+    """Two nodes commit through one table that fails; compared with a list.
+
+    The naive version is the list of accepted operations in order of version.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = MemoryTable()
+        self.nodes = [self._make_committer(ConfigCopy()) for _ in range(2)]
+        self.accepted: dict[OperationId, tuple[int, PutContract]] = {}
+        self.asked: list[Asked] = []
+
+    def _make_committer(self, config: ConfigCopy) -> tuple[Committer, ConfigCopy]:
+        async def ignore(change: Change) -> None:
+            return None
+
+        committer = Committer(
+            config=config,
+            log=ConfigLog(table=self.table),
+            on_committed=lambda entry: config.apply([entry]),
+            on_withdrawn=ignore,
+        )
+        return committer, config
+
+    @rule(
+        node=st.integers(0, 1),
+        account=st.sampled_from("ab"),
+        rate=st.integers(1, 3),
+        by_tag=st.booleans(),
+        lag=st.integers(0, 2),
+    )
+    def ask(self, node: int, account: str, rate: int, by_tag: bool, lag: int) -> None:
+        config = self.nodes[node][1]
+        contract = Contract(account=AccountId(account), rate_per_s=rate, burst=5)
+        seen = config.snapshot.contracts.get(AccountId(account))
+        asked = Asked(
+            op_id=OperationId(str(len(self.asked))),
+            operator="o",
+            change=PutContract(contract=contract),
+            expected_version=None if by_tag else max(0, config.version - lag),
+            tag=make_tag(seen) if by_tag else None,
+        )
+        self.asked.append(asked)
+        self._commit(node, asked)
+
+    @rule(node=st.integers(0, 1), back=st.integers(1, 6))
+    def repeat(self, node: int, back: int) -> None:
+        if len(self.asked) >= back:
+            self._commit(node, self.asked[-back])
+
+    @rule(down=st.booleans(), lose=st.booleans())
+    def set_faults(self, down: bool, lose: bool) -> None:
+        self.table.down = down
+        self.table.lose_answers = lose
+
+    def _commit(self, node: int, asked: Asked) -> None:
+        outcome = anyio.run(self.nodes[node][0].commit, asked)
+        known = self.accepted.get(asked.op_id)
+        if isinstance(outcome, Accepted):
+            version = outcome.entry.version
+            assert known is None or known[0] == version
+            self.accepted[asked.op_id] = (version, asked.change)
+        elif isinstance(outcome, Changed):
+            assert known is None
+        else:
+            assert isinstance(outcome, StoreDown)
+            assert self.table.down or self.table.lose_answers
+
+    @invariant()
+    def log_holds_each_operation_once(self) -> None:
+        rows = [r for key, r in self.table.rows.items() if "/log/" in key]
+        ids = [row.op_id for row in rows]
+        assert len(ids) == len(set(ids))
+        head = self.table.rows.get("config/head")
+        versions = 0 if head is None else msgspec.json.decode(head.value)["version"]
+        assert len(rows) == versions
+        for op_id, (version, _) in self.accepted.items():
+            assert self.table.rows[f"config/log/{version:012d}"].op_id == op_id
+
+
+TestCommits: Callable = CommitMachine.TestCase
