Give operators a tool that tries several nodes and waits for changes

The tool could print a status and a key; changes were written by hand.

Adds validate, apply with a dry run and a wait, contract, key, status, watch, drain, audit and doctor. Results are tables or JSON, exit codes are listed in the help, and every error says what to do next.

make fleet keeps a small fleet with its stand-ins running for such walks.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SRC)))
 
-.PHONY: setup demo test lint types format check
+.PHONY: setup demo fleet test lint types format check
 
 setup: $(VENV)/.installed
 
@@ -23,6 +23,9 @@
 demo: setup
 	$(PY) -m endivebeam_standins.demo
 
+fleet: setup
+	$(PY) -m endivebeam_standins.fleet build/fleet
+
 test: setup
 	$(PY) .ci/run_tests.py
 
--- /dev/null
+++ b/packages/endivebeam-cli/src/endivebeam_cli/_exits.py
@@ -0,0 +1,29 @@
+"""Exit codes and the error that ends a command."""
+
+from enum import IntEnum
+
+
+class Exit(IntEnum):
+    """Exit codes of the tool, for scripts.
+
+    Code 2 is given by the command line itself for a wrong option.
+    """
+
+    OK = 0
+    FINDINGS = 1
+    USAGE = 2
+    UNREACHABLE = 3
+    UNAUTHORIZED = 4
+    CONFLICT = 5
+    NOT_IN_FORCE = 6
+    STORE_DOWN = 7
+    REFUSED = 8
+
+
+class ToolError(Exception):
+    """Ends a command with a message that says what to do next."""
+
+    def __init__(self, code: Exit, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
--- a/packages/endivebeam-cli/src/endivebeam_cli/_main.py
+++ b/packages/endivebeam-cli/src/endivebeam_cli/_main.py
@@ -1,38 +1,79 @@
-"""Commands of ``endivebeam``."""
+"""Command line of ``endivebeam``."""
 
-import secrets
+from pathlib import Path
 from typing import Annotated
 
-import httpx
 import typer
 
-app = typer.Typer(help="Operate an endivebeam fleet.")
+from . import _contracts, _keys
+from ._contracts import apply, validate
+from ._doctor import doctor
+from ._exits import Exit, ToolError
+from ._fleet import audit, drain, status, watch
+from ._session import Format, Session, errors_end_command
 
-EXIT_UNREACHABLE = 3
-TIMEOUT_S = 10.0
+EXIT_CODES = """
+Exit codes: 0 done; 1 findings or problems; 2 wrong options; 3 no node answered;
+4 operator token refused; 5 another change came first; 6 committed but not
+confirmed in force in time; 7 store down; 8 refused for another reason.
+"""
 
-Url = Annotated[str, typer.Option(envvar="ENDIVEBEAM_URL", help="Admin API of a node.")]
-Token = Annotated[
-    str, typer.Option(envvar="ENDIVEBEAM_TOKEN", help="Token of the operator.")
-]
+app = typer.Typer(
+    help="Operate an endivebeam fleet.",
+    epilog=EXIT_CODES,
+    no_args_is_help=True,
+    pretty_exceptions_show_locals=False,
+)
 
 
-@app.command()
-def status(url: Url, token: Token) -> None:
-    """Print the members and the configuration version that a node knows."""
-    headers = {"authorization": f"Bearer {token}"}
+@app.callback()
+def main_options(
+    ctx: typer.Context,
+    url: Annotated[
+        list[str] | None,
+        typer.Option(
+            envvar="ENDIVEBEAM_URL",
+            help="Admin address of a node; name several to try them in order.",
+        ),
+    ] = None,
+    token: Annotated[
+        str,
+        typer.Option(
+            envvar="ENDIVEBEAM_TOKEN",
+            help="Operator token; better set in the environment or a file.",
+            show_default=False,
+        ),
+    ] = "",
+    token_file: Annotated[
+        Path | None, typer.Option(help="File that holds the operator token.")
+    ] = None,
+    output: Annotated[Format, typer.Option(help="How to print.")] = Format.TABLE,
+) -> None:
+    """Set the options that all commands share."""
+    with errors_end_command():
+        if token_file is not None:
+            token = _read_token(token_file)
+        urls = [part for item in url or [] for part in item.replace(",", " ").split()]
+        ctx.obj = Session(urls=urls, token=token, format=output)
+
+
+def _read_token(path: Path) -> str:
     try:
-        answer = httpx.get(f"{url}/v1/status", headers=headers, timeout=TIMEOUT_S)
-    except httpx.HTTPError as error:
-        typer.echo(f"no answer from {url}: {error}; check the URL", err=True)
-        raise typer.Exit(EXIT_UNREACHABLE) from error
-    typer.echo(answer.text)
+        return path.read_text().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        message = f"{path} cannot be read: {error}; check --token-file"
+        raise ToolError(Exit.USAGE, message) from error
 
 
-@app.command()
-def new_key() -> None:
-    """Print a new client key."""
-    typer.echo("eb_" + secrets.token_urlsafe(32))
+app.command()(validate)
+app.command()(apply)
+app.add_typer(_contracts.app, name="contract")
+app.add_typer(_keys.app, name="key")
+app.command()(status)
+app.command()(watch)
+app.command()(drain)
+app.command()(audit)
+app.command()(doctor)
 
 
 def main() -> None:
--- a/packages/endivebeam-node/src/endivebeam_node/_admin.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_admin.py
@@ -6,7 +6,7 @@
 import anyio
 import msgspec
 from loguru import logger
-from returns.result import Success
+from returns.result import Failure, Success
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -23,7 +23,7 @@
     find_object,
     make_tag,
 )
-from endivebeam_store import ConfigLog
+from endivebeam_store import ConfigLog, Unavailable
 
 from ._admin_http import (
     MAX_PAGE,
@@ -50,6 +50,7 @@
     ServiceItem,
     ServicePage,
     StatusReply,
+    StoreReply,
     VersionsReply,
 )
 from ._commits import (
@@ -183,11 +184,17 @@
             region=local.region,
             domain=local.domain,
             draining=self._draining or local.state is MemberState.DRAINING,
-            emergency_withdrawals=len(self._config.withdrawn),
+            emergency_withdrawals=self._count_pending(),
             versions=self._summarize(self._config.version).domains,
         )
         return reply(status)
 
+    def _count_pending(self) -> int:
+        """Return the emergency withdrawals that are not in the log yet."""
+        keys = self._config.snapshot.keys
+        withdrawn = self._config.withdrawn
+        return sum(d not in keys or not keys[d].withdrawn for d in withdrawn)
+
     async def read_versions(self, request: Request, operator: object) -> Response:
         current = self._config.version
         asked = read_number(request, "at_least", current, high=MAX_VERSION)
@@ -264,6 +271,12 @@
         message = f"version {version} could not be read from the table; try again"
         raise fail(503, "store_unavailable", message)
 
+    async def read_store(self, request: Request, operator: object) -> Response:
+        match await self._log.read_head():
+            case Failure(Unavailable(message=message)):
+                return reply(StoreReply(reachable=False, message=message))
+        return reply(StoreReply(reachable=True))
+
     async def drain(self, request: Request, operator: Operator) -> Response:
         asked = await read_body(request, DrainRequest)
         local = self._members.local.node_id
@@ -292,7 +305,7 @@
             case Refused(reasons):
                 raise fail(422, "refused", "; ".join(reasons))
             case StoreDown(message):
-                message = f"{message}; send the same op_id again"
+                message = f"{message}; send the same op_id again, which is safe"
                 raise fail(503, "store_unavailable", message)
 
 
--- a/packages/endivebeam-node/src/endivebeam_node/_admin_types.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_admin_types.py
@@ -71,6 +71,13 @@
     domains: list[DomainVersions]
 
 
+class StoreReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether this node reaches the platform's table at present."""
+
+    reachable: bool
+    message: str = ""
+
+
 class ReadyReply(msgspec.Struct, frozen=True, kw_only=True):
     """Whether the node takes calls, and why not."""
 
--- a/packages/endivebeam-node/src/endivebeam_node/_config.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_config.py
@@ -3,19 +3,19 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 
-import msgspec
 from loguru import logger
 from returns.result import Success
 
 from endivebeam_model import (
     ConfigVersion,
-    IssueKey,
     KeyDigest,
     LogEntry,
     OperationId,
+    PutContract,
+    PutService,
     Snapshot,
-    WithdrawKey,
     apply_entry,
+    describe_change,
 )
 
 RECENT_ENTRIES = 1024
@@ -88,10 +88,16 @@
 
 
 def redact_entry(entry: LogEntry) -> str:
-    """Describe a change for logs; keys appear as the start of their digest."""
+    """Describe a change for logs and the audit record, never with a key."""
     match entry.change:
-        case IssueKey(key=key):
-            return f"issue key {key.digest[:8]} of account {key.account}"
-        case WithdrawKey(digest=digest):
-            return f"withdraw key {digest[:8]}"
-    return msgspec.json.encode(entry.change).decode()
+        case PutContract(contract=contract):
+            services = ",".join(contract.services) or "all"
+            return (
+                f"put contract {contract.account}: rate_per_s={contract.rate_per_s:g} "
+                f"burst={contract.burst:g} retry_credits={contract.retry_credits} "
+                f"services={services}"
+            )
+        case PutService(service=service):
+            routes = ", ".join(f"{r.method} {r.path}" for r in service.routes)
+            return f"put service {service.service}: {routes}"
+    return describe_change(entry.change, Snapshot())
--- a/packages/endivebeam-node/src/endivebeam_node/_endpoints.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_endpoints.py
@@ -13,6 +13,7 @@
     ServiceItem,
     ServicePage,
     StatusReply,
+    StoreReply,
     VersionsReply,
 )
 from ._openapi import Endpoint
@@ -113,6 +114,14 @@
         query=("at_least",),
         statuses=(400,),
     ),
+    Endpoint(
+        "GET",
+        "/v1/store",
+        "read_store",
+        "Whether this node reaches the platform's table.",
+        Access.READ,
+        answer=StoreReply,
+    ),
     Endpoint(
         "POST",
         "/v1/drain",
