Report all findings in settings and keep keys out of logs

A wrong setting ended the daemon with a library's error text, and a logged exception showed the values of variables, which may hold a key.

Settings are read like contract documents: all findings with their place, overrides from ENDIVEBEAM_ variables, and a start-up log with secrets hidden. Log lines have one format in text or JSON, name chain and request where there is one, are sampled per place under floods, and pass a filter for keys.

--- a/packages/endivebeam-node/src/endivebeam_node/_forward.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_forward.py
@@ -2,7 +2,6 @@
 
 import anyio
 import anyio.abc
-from loguru import logger
 
 from endivebeam_http import (
     ClientPool,
@@ -19,6 +18,7 @@
 from endivebeam_wire import CallAnswer, CallRequest, Header
 
 from ._inflight import Context, InFlight
+from ._logs import call_logger
 from ._outcomes import RETRY_AFTER_S, refuse
 from ._ports import Outcome, ReportLoad
 from ._targets import Announcement, LocalTarget
@@ -70,7 +70,7 @@
         try:
             response = await pool.request(_to_request(call, context))
         except NotSentError:
-            logger.warning("calls: the target refused the connection")
+            call_logger(call).warning("calls: the target refused the connection")
             self._target.forget()
             return refuse(
                 RefusalReason.NO_TARGET,
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_logs.py
@@ -0,0 +1,167 @@
+"""Log lines: format, sampling of repeated messages, and no keys.
+
+Each message starts with the prefix of its part, for instance ``calls:``. A
+message about a call names its chain and request when it is logged through
+``call_logger``.
+"""
+
+import re
+import sys
+import time
+import traceback
+from collections.abc import Callable
+from typing import TYPE_CHECKING, TextIO
+
+import msgspec
+from loguru import logger
+
+from endivebeam_wire import CallRequest
+
+if TYPE_CHECKING:
+    from loguru import Logger, Message, Record
+
+PARTS = frozenset(
+    {"admin", "calls", "config", "limits", "members", "node", "peers", "store"}
+)
+WINDOW_S = 10.0
+MAX_PER_WINDOW = 10
+MAX_PLACES = 1024
+
+_SECRETS = re.compile(
+    r"eb_[0-9A-Za-z_-]{8,}|(?<=bearer )\S+|(?<=x-api-key: )\S+", re.IGNORECASE
+)
+HIDDEN = "(hidden)"
+
+
+class LogLine(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One log line in JSON."""
+
+    at: str
+    level: str
+    part: str
+    message: str
+    chain: str | None = None
+    request: int | None = None
+    omitted: int = 0
+    error: str | None = None
+
+
+class Sampler:
+    """Lets a bounded number of messages of each place through per window.
+
+    A place is a line of the source, so that a flood of one message neither
+    fills the disk nor hides the messages of other places. The next message
+    after the window says how many were left out.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._windows: dict[tuple[str | None, int], _Window] = {}
+
+    def __call__(self, record: "Record") -> bool:
+        """Return whether a message is written."""
+        now = self._clock()
+        place = (record["name"], record["line"])
+        window = self._windows.get(place)
+        if window is None or now - window.started >= WINDOW_S:
+            if window is None and len(self._windows) >= MAX_PLACES:
+                self._windows.clear()
+            record["extra"]["omitted"] = 0 if window is None else window.omitted
+            self._windows[place] = _Window(started=now)
+            return True
+        window.count += 1
+        if window.count <= MAX_PER_WINDOW:
+            return True
+        window.omitted += 1
+        return False
+
+
+class _Window:
+    __slots__ = ("count", "omitted", "started")
+
+    def __init__(self, *, started: float) -> None:
+        self.started = started
+        self.count = 1
+        self.omitted = 0
+
+
+def set_up_logs(
+    *,
+    level: str,
+    as_json: bool,
+    stream: TextIO = sys.stderr,
+    clock: Callable[[], float] = time.monotonic,
+) -> None:
+    """Send log lines to a stream, as text or as JSON lines."""
+    format_line = format_json if as_json else format_text
+
+    def write(message: "Message") -> None:
+        stream.write(hide_secrets(format_line(message.record)) + "\n")
+        stream.flush()
+
+    logger.remove()
+    # Values of variables in tracebacks (diagnose) could hold a key.
+    logger.add(
+        write,
+        level=level,
+        filter=Sampler(clock=clock),
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def call_logger(call: CallRequest) -> "Logger":
+    """Return a logger whose messages name the chain and request of a call."""
+    return logger.bind(chain=call.chain_id, request=call.request_id)
+
+
+def hide_secrets(text: str) -> str:
+    """Replace whatever looks like a client key or token.
+
+    >>> hide_secrets("key eb_0123456789abcdef refused")
+    'key (hidden) refused'
+    """
+    return _SECRETS.sub(HIDDEN, text)
+
+
+def format_text(record: "Record") -> str:
+    """Return a line for people."""
+    line = read_record(record)
+    text = f"{line.at} {line.level:<7} {line.part}: {line.message}"
+    if line.chain is not None:
+        text += f" chain={line.chain} request={line.request}"
+    if line.omitted:
+        text += f" ({line.omitted} like this left out)"
+    if line.error is not None:
+        text += f"\n{line.error}"
+    return text
+
+
+def format_json(record: "Record") -> str:
+    """Return a line for machines."""
+    return msgspec.json.encode(read_record(record)).decode()
+
+
+def read_record(record: "Record") -> LogLine:
+    """Return the parts of a line."""
+    part, colon, message = record["message"].partition(": ")
+    if not colon or part not in PARTS:
+        part, message = "node", record["message"]
+    extra = record["extra"]
+    return LogLine(
+        at=record["time"].isoformat(timespec="milliseconds"),
+        level=record["level"].name,
+        part=part,
+        message=message,
+        chain=extra.get("chain"),
+        request=extra.get("request"),
+        omitted=extra.get("omitted", 0),
+        error=_format_error(record),
+    )
+
+
+def _format_error(record: "Record") -> str | None:
+    error = record["exception"]
+    if error is None or error.value is None:
+        return None
+    return "".join(traceback.format_exception(error.value)).rstrip()
--- a/packages/endivebeam-node/src/endivebeam_node/_main.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_main.py
@@ -1,18 +1,18 @@
 """Command line of ``endivebeamd``."""
 
-import sys
+import os
 from pathlib import Path
 from typing import Annotated
 
 import anyio
 import typer
 from loguru import logger
-from pydantic import ValidationError
 
 from ._daemon import run_daemon
-from ._settings import load_settings
+from ._logs import set_up_logs
+from ._settings_load import describe_settings, read_settings
 
-app = typer.Typer(add_completion=False)
+app = typer.Typer(add_completion=False, pretty_exceptions_show_locals=False)
 
 EXIT_BAD_SETTINGS = 2
 
@@ -22,18 +22,23 @@
     settings: Annotated[Path, typer.Argument(help="Settings of the node in YAML.")],
     check: Annotated[bool, typer.Option(help="Check the settings and exit.")] = False,
 ) -> None:
-    """Run one endivebeam node until SIGTERM."""
-    try:
-        loaded = load_settings(settings)
-    except (ValidationError, OSError) as error:
-        typer.echo(f"{settings}: {error}", err=True)
-        raise typer.Exit(EXIT_BAD_SETTINGS) from error
+    """Run one endivebeam node until SIGTERM.
+
+    Variables such as ENDIVEBEAM_NODE_ID override the fields of the file.
+    """
+    loaded = read_settings(settings, os.environ)
+    for finding in loaded.findings:
+        typer.echo(finding, err=True)
+    if loaded.value is None:
+        raise typer.Exit(EXIT_BAD_SETTINGS)
     if check:
-        typer.echo("settings are valid")
+        typer.echo("settings are valid; in force would be:")
+        typer.echo("\n".join(describe_settings(loaded.value)))
         return
-    logger.remove()
-    logger.add(sys.stderr, level=loaded.log_level)
-    anyio.run(run_daemon, loaded)
+    set_up_logs(level=loaded.value.log_level, as_json=loaded.value.log_format == "json")
+    for line in describe_settings(loaded.value):
+        logger.info("node: setting {}", line)
+    anyio.run(run_daemon, loaded.value)
 
 
 def main() -> None:
--- a/packages/endivebeam-node/src/endivebeam_node/_settings.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_settings.py
@@ -1,9 +1,8 @@
-"""Settings of the daemon, read from YAML."""
+"""Settings of the daemon."""
 
 from pathlib import Path
 from typing import Literal
 
-import yaml
 from pydantic import BaseModel, ConfigDict, Field
 
 
@@ -26,7 +25,10 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     name: str
-    token_sha256: str = Field(pattern="^[0-9a-f]{64}$")
+    token_sha256: str = Field(
+        pattern="^[0-9a-f]{64}$",
+        description="use the token's SHA-256 digest in 64 lower-case hex digits",
+    )
     role: Literal["admin", "read"] = "admin"
 
 
@@ -47,17 +49,17 @@
     local_port: int = Field(default=0, ge=0, le=65535)
     peer_port: int = Field(default=0, ge=0, le=65535)
     admin_port: int = Field(default=0, ge=0, le=65535)
-    platform_url: str
+    platform_url: str = Field(
+        pattern="^https?://[^/]",
+        description="use the platform's base URL, as http://10.0.0.1:7000",
+    )
     seeds: list[SeedAddress] = []
     operators: list[Operator] = []
     ports_file: Path | None = None
-    log_level: str = "INFO"
+    log_level: Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR"] = Field(
+        default="INFO", description="use TRACE, DEBUG, INFO, WARNING or ERROR"
+    )
+    log_format: Literal["text", "json"] = Field(
+        default="text", description="use text or json"
+    )
     drain_timeout_s: float = Field(default=30.0, gt=0, le=600)
-
-
-def load_settings(path: Path) -> Settings:
-    """Read settings from a YAML file.
-
-    Raises ``pydantic.ValidationError`` with every finding.
-    """
-    return Settings.model_validate(yaml.safe_load(path.read_text()))
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_settings_load.py
@@ -0,0 +1,168 @@
+"""Reads settings from YAML and the environment and reports all findings."""
+
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+import msgspec
+import yaml
+
+from endivebeam_model import (
+    Finding,
+    Loaded,
+    Severity,
+    Source,
+    has_errors,
+    load_model,
+    suggest,
+)
+
+from ._settings import Settings
+
+ENV_PREFIX = "ENDIVEBEAM_"
+
+# Read by the operator's tool, which may share the environment of a node.
+TOOL_VARIABLES = frozenset({"ENDIVEBEAM_URL", "ENDIVEBEAM_TOKEN"})
+SECRET_WORDS = ("secret", "token", "password", "private")
+HIDDEN = "(hidden)"
+
+
+class SettingsError(Exception):
+    """Settings that cannot be used, with every finding."""
+
+    def __init__(self, findings: list[Finding]) -> None:
+        super().__init__("\n".join(str(finding) for finding in findings))
+        self.findings = findings
+
+
+def load_settings(path: Path, environment: Mapping[str, str] | None = None) -> Settings:
+    """Read settings from a YAML file and the environment.
+
+    Raises ``SettingsError`` with every finding.
+    """
+    loaded = read_settings(path, environment or {})
+    if loaded.value is None:
+        raise SettingsError(loaded.findings)
+    return loaded.value
+
+
+def read_settings(path: Path, environment: Mapping[str, str]) -> Loaded[Settings]:
+    """Return the settings with all findings, warnings included.
+
+    A variable ``ENDIVEBEAM_NODE_ID`` overrides the field ``node_id``. Values
+    of fields that are not text are read as YAML.
+    """
+    file = str(path)
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        source = Source(file=file, data=None, places={})
+        message = f"cannot be read: {error}; check the path and encoding"
+        return Loaded(value=None, source=source, findings=[_at(source, message)])
+    overrides, findings = read_overrides(environment)
+    loaded = load_model(Settings, text, file, overrides=overrides)
+    findings += [_name_variable(f, overrides) for f in loaded.findings]
+    if loaded.value is not None:
+        findings += list(_check_settings(loaded.value, loaded.source))
+    value = None if has_errors(findings) else loaded.value
+    return Loaded(value=value, source=loaded.source, findings=findings)
+
+
+def read_overrides(
+    environment: Mapping[str, str],
+) -> tuple[dict[str, object], list[Finding]]:
+    """Return the fields that the environment sets, and unknown variables."""
+    overrides: dict[str, object] = {}
+    findings = []
+    known = {ENV_PREFIX + name.upper(): name for name in Settings.model_fields}
+    for variable in sorted(environment):
+        if not variable.startswith(ENV_PREFIX) or variable in TOOL_VARIABLES:
+            continue
+        name = known.get(variable)
+        source = Source(file=f"environment {variable}", data=None, places={})
+        if name is None:
+            message = f"unknown variable; {suggest(variable, known)}"
+            findings.append(_at(source, message))
+            continue
+        try:
+            overrides[name] = _read_value(name, environment[variable])
+        except yaml.YAMLError:
+            findings.append(_at(source, "not valid YAML; put text in quotes"))
+    return overrides, findings
+
+
+def describe_settings(settings: Settings) -> list[str]:
+    """Return one line for each setting in force, with secrets hidden."""
+    values = settings.model_dump(mode="json")
+    return [f"{name}={_hide(name, value)}" for name, value in values.items()]
+
+
+def _hide(name: str, value: Any) -> Any:
+    if isinstance(value, dict):
+        return {key: _hide(key, item) for key, item in value.items()}
+    if isinstance(value, list):
+        return [_hide(name, item) for item in value]
+    if value and any(word in name for word in SECRET_WORDS):
+        return HIDDEN
+    if isinstance(value, str) and "://" in value:
+        return _hide_user(value)
+    return value
+
+
+def _hide_user(url: str) -> str:
+    # A URL may hold a password before the host.
+    parts = urlsplit(url)
+    _, at, host = parts.netloc.rpartition("@")
+    if not at:
+        return url
+    return parts._replace(netloc=f"{HIDDEN}@{host}").geturl()
+
+
+def _read_value(name: str, text: str) -> object:
+    annotation = Settings.model_fields[name].annotation
+    if annotation is str:
+        return text
+    value: object = yaml.safe_load(text)
+    return value
+
+
+def _name_variable(finding: Finding, overrides: Mapping[str, object]) -> Finding:
+    field = finding.path.partition(".")[0].partition("[")[0]
+    if field not in overrides:
+        return finding
+    file = f"environment {ENV_PREFIX}{field.upper()}"
+    return msgspec.structs.replace(finding, file=file, line=1, column=1)
+
+
+def _at(source: Source, message: str) -> Finding:
+    return source.make_finding((), message)
+
+
+def _check_settings(settings: Settings, source: Source) -> Iterator[Finding]:
+    """Yield the findings that concern several fields together."""
+    yield from _check_ports(settings, source)
+    names: set[str] = set()
+    for index, operator in enumerate(settings.operators):
+        if operator.name in names:
+            message = f"operator {operator.name} is given twice; use another name"
+            yield source.make_finding(("operators", index, "name"), message)
+        names.add(operator.name)
+    if not settings.operators:
+        message = "no operator can use the administration API; add one"
+        yield source.make_finding(("operators",), message, Severity.WARNING)
+    if not settings.seeds:
+        message = (
+            "the node finds no peers while the store is down; add addresses of peers"
+        )
+        yield source.make_finding(("seeds",), message, Severity.WARNING)
+
+
+def _check_ports(settings: Settings, source: Source) -> Iterator[Finding]:
+    used: dict[int, str] = {}
+    for name in ("caller_port", "local_port", "peer_port", "admin_port"):
+        port = getattr(settings, name)
+        if port and port in used:
+            message = f"port {port} is also {used[port]}; use another port"
+            yield source.make_finding((name,), message)
+        used[port] = name
--- /dev/null
+++ b/packages/endivebeam-node/tests/test_settings.py
@@ -0,0 +1,100 @@
+"""Tests of settings and their findings."""
+
+from pathlib import Path
+
+import pytest
+
+from endivebeam_node._settings_load import (
+    SettingsError,
+    describe_settings,
+    load_settings,
+    read_settings,
+)
+
+VALID = """\
+node_id: catalogue-1
+region: scot-central
+domain: domain-a
+platform_url: http://platform.invalid:7000
+seeds: [{host: 10.0.0.1, port: 7}]
+operators:
+  - {name: ann, token_sha256: "%s"}
+""" % ("a" * 64)
+
+
+def write(directory: Path, text: str) -> Path:
+    path = directory / "node.yaml"
+    path.write_text(text)
+    return path
+
+
+class TestFindings:
+    def test_all_findings_come_together_with_their_place(self, tmp_path: Path):
+        """Guards against a node that reports one wrong setting per start."""
+        text = VALID.replace("node_id", "node").replace("port: 7", "port: 70000")
+        text = text.replace("a" * 64, "abc") + "caller_port: 80\nadmin_port: 80\n"
+        path = write(tmp_path, text)
+        found = read_settings(path, {"ENDIVEBEAM_HOSTS": "x"})
+        assert found.value is None
+        texts = [str(finding) for finding in found.findings]
+        for part in (
+            f"{path}:1:1: error: node: unknown field; did you mean node_id?",
+            f"{path}:1:1: error: node_id: required field is missing",
+            f"{path}:5:26: error: seeds[0].port: ",
+            f"{path}:7:17: error: operators[0].token_sha256: ",
+            "environment ENDIVEBEAM_HOSTS:1:1: error: unknown variable; did you "
+            "mean ENDIVEBEAM_HOST?",
+        ):
+            assert any(part in text for text in texts), part
+
+    @pytest.mark.parametrize(
+        ("added", "message"),
+        [
+            ("caller_port: 80\nadmin_port: 80\n", "port 80 is also caller_port"),
+            ("log_level: LOUD\n", "use TRACE, DEBUG, INFO, WARNING or ERROR"),
+            ("drain_timeout_s: -1\n", "drain_timeout_s"),
+        ],
+    )
+    def test_single_faults_are_named(self, tmp_path: Path, added: str, message: str):
+        """Guards against a setting that fails only after the start."""
+        path = write(tmp_path, VALID + added)
+        with pytest.raises(SettingsError, match=message):
+            load_settings(path)
+
+    def test_a_missing_file_is_a_finding(self, tmp_path: Path):
+        """Guards against a traceback instead of advice."""
+        found = read_settings(tmp_path / "none.yaml", {})
+        assert "cannot be read" in str(found.findings[0])
+
+
+class TestEnvironment:
+    def test_variables_override_the_file(self, tmp_path: Path):
+        """Guards against replaced machines that need an edited file."""
+        path = write(tmp_path, VALID)
+        environment = {
+            "ENDIVEBEAM_NODE_ID": "7",
+            "ENDIVEBEAM_CALLER_PORT": "8080",
+            "ENDIVEBEAM_SEEDS": "[{host: 10.0.0.2, port: 9}]",
+            "ENDIVEBEAM_TOKEN": "of the tool",
+            "PATH": "/bin",
+        }
+        settings = load_settings(path, environment)
+        assert (settings.node_id, settings.caller_port) == ("7", 8080)
+        assert settings.seeds[0].port == 9
+
+    def test_a_wrong_variable_is_named(self, tmp_path: Path):
+        """Guards against a search in the file for what a variable says."""
+        path = write(tmp_path, VALID)
+        found = read_settings(path, {"ENDIVEBEAM_CALLER_PORT": "many"})
+        assert found.findings[0].file == "environment ENDIVEBEAM_CALLER_PORT"
+
+
+class TestDescription:
+    def test_settings_in_force_are_shown_without_secrets(self, tmp_path: Path):
+        """Guards against digests and passwords in logs."""
+        text = VALID.replace("http://", "http://user:hunter2@")
+        lines = "\n".join(describe_settings(load_settings(write(tmp_path, text))))
+        assert "node_id=catalogue-1" in lines
+        assert "platform.invalid:7000" in lines
+        assert "a" * 64 not in lines
+        assert "hunter2" not in lines
