--- a/packages/endivebeam-node/src/endivebeam_node/_admin.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_admin.py
@@ -184,17 +184,11 @@
             region=local.region,
             domain=local.domain,
             draining=self._draining or local.state is MemberState.DRAINING,
-            emergency_withdrawals=self._count_pending(),
+            emergency_withdrawals=self._config.count_pending(),
             versions=self._summarize(self._config.version).domains,
         )
         return reply(status)
 
-    def _count_pending(self) -> int:
-        """Return the emergency withdrawals that are not in the log yet."""
-        keys = self._config.snapshot.keys
-        withdrawn = self._config.withdrawn
-        return sum(d not in keys or not keys[d].withdrawn for d in withdrawn)
-
     async def read_versions(self, request: Request, operator: object) -> Response:
         current = self._config.version
         asked = read_number(request, "at_least", current, high=MAX_VERSION)
--- a/packages/endivebeam-node/src/endivebeam_node/_callers.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_callers.py
@@ -1,6 +1,8 @@
 """The caller port: authenticates, admits and answers calls from outside."""
 
 import secrets
+import time
+from collections.abc import Callable
 from http import HTTPStatus
 
 from returns.pipeline import is_successful
@@ -30,6 +32,7 @@
 
 from ._calls import CallPath
 from ._config import ConfigCopy
+from ._metrics import Measured
 from ._ports import TakeToken
 
 OPEN_ACCOUNT = AccountId("")
@@ -169,24 +172,49 @@
     """Handles requests of the caller port."""
 
     def __init__(
-        self, *, config: ConfigCopy, calls: CallPath, take_token: TakeToken
+        self,
+        *,
+        config: ConfigCopy,
+        calls: CallPath,
+        take_token: TakeToken,
+        record: Callable[[Measured], None] = lambda measured: None,
     ) -> None:
         self._config = config
         self._calls = calls
         self._take_token = take_token
+        self._record = record
 
     async def handle(self, request: Request) -> Response:
-        """Answer one request from outside."""
+        """Answer one request from outside and record how it ended."""
+        measured = Measured()
+        started = time.monotonic()
         try:
-            call = await self._accept(request)
+            return await self._answer(request, measured)
+        finally:
+            measured.latency_s = time.monotonic() - started
+            self._record(measured)
+
+    async def _answer(self, request: Request, measured: Measured) -> Response:
+        try:
+            call = await self._accept(request, measured)
         except RefusedError as error:
+            measured.refusal = error.refusal
             return refusal_response(error.refusal)
         outcome = await self._calls.route(call)
+        match outcome:
+            case CallAnswer(status=status):
+                measured.status = status
+            case CallRefused(refusal=refusal):
+                measured.refusal = refusal
         return outcome_response(outcome)
 
-    async def _accept(self, request: Request) -> CallRequest:
+    async def _accept(self, request: Request, measured: Measured) -> CallRequest:
         service, path, route = resolve_route(self._config, request)
+        measured.service = service
         contract = self._authorize(request, route, service)
+        if contract is not None:
+            measured.account = contract.account
+            measured.objectives = contract.objectives
         timeout_s = read_timeout_s(request, route)
         key = read_idempotency_key(request, route)
         if contract is not None:
--- a/packages/endivebeam-node/src/endivebeam_node/_config.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_config.py
@@ -82,6 +82,15 @@
         self._notify()
         return True
 
+    def pending(self) -> list[KeyDigest]:
+        """Return the withdrawn keys whose withdrawal is not in the log yet."""
+        keys = self.snapshot.keys
+        return [d for d in self.withdrawn if d not in keys or not keys[d].withdrawn]
+
+    def count_pending(self) -> int:
+        """Return the number of withdrawals that are not in the log yet."""
+        return len(self.pending())
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener(self.snapshot)
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -2,7 +2,6 @@
 
 import random
 import secrets
-import signal
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -54,12 +53,15 @@
 from ._calls import CallPath
 from ._config import ConfigCopy
 from ._forward import TargetForwarder
+from ._gauges import add_gauges
 from ._inflight import InFlight
 from ._members import Members
+from ._metrics import Metrics
 from ._nested import LocalHandler
 from ._peers import Peers
 from ._ports import Forward, Observation, Outcome
 from ._settings import Settings
+from ._stop import wait_for_stop
 from ._sync import Synchronizer
 from ._targets import Announcement, LocalTarget
 from ._versions import HeardVersions
@@ -92,6 +94,7 @@
         self.members = Members(local=_local_member(settings))
         self.versions = HeardVersions()
         self._stop = anyio.Event()
+        self.metrics = Metrics()
         self._client = httpx.AsyncClient(base_url=settings.platform_url, timeout=5.0)
         self.table = HttpTable(client=self._client)
         self.log = ConfigLog(table=self.table)
@@ -126,7 +129,10 @@
             run_once=self._run_once,
         )
         self.callers = CallerHandler(
-            config=self.config, calls=self.calls, take_token=self._take_token
+            config=self.config,
+            calls=self.calls,
+            take_token=self._take_token,
+            record=self.metrics.record,
         )
         self.local = LocalHandler(
             config=self.config,
@@ -136,6 +142,14 @@
             on_announcement=self._on_announcement,
         )
         self._connections: set[ServerConnection] = set()
+        add_gauges(
+            self.metrics,
+            config=self.config,
+            members=self.members,
+            calls=self.calls,
+            in_flight=self.in_flight,
+            connections=self._connections,
+        )
 
     async def run(self) -> None:
         """Listen, serve until a stop is asked for, then drain."""
@@ -159,7 +173,7 @@
             )
             logger.info("node: {} listens on {}", settings.node_id, ports)
             _write_ports(settings, ports)
-            await _wait_for_stop(self._stop)
+            await wait_for_stop(self._stop)
             await self._drain()
             servers.cancel_scope.cancel()
         await self.peers.close()
@@ -212,6 +226,7 @@
             on_withdrawn=self._on_withdrawn,
             versions=self.versions,
             on_drain=self._stop.set,
+            render_metrics=self.metrics.render,
         )
         config = HypercornConfig()
         config.bind = [f"fd://{listener.fileno()}"]
@@ -336,20 +351,6 @@
     partial.rename(path)
 
 
-async def _wait_for_stop(stop: anyio.Event) -> None:
-    """Return when a signal arrives or an operator drains the node."""
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_set_on_signal, stop)
-        await stop.wait()
-        tasks.cancel_scope.cancel()
-
-
-async def _set_on_signal(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            stop.set()
-
-
 def _with_id(outcome: Outcome, request_id: int) -> Outcome:
     return msgspec.structs.replace(outcome, request_id=request_id)
 
--- a/tests/test_operator_walk.py
+++ b/tests/test_operator_walk.py
@@ -57,10 +57,11 @@
                 check=False,
             )
         assert done.returncode == 0, done.stdout + done.stderr
-        _, _, contract, call, change, withdrawal, _ = done.stdout.split("== ")
+        _, _, contract, call, change, metrics, withdrawal, _ = done.stdout.split("== ")
         assert "add contract northfit-rentals" in contract
         assert '"path":"/treadmills?page=2"' in call
         assert "rate_per_s 120.0 -> 150.0" in change
+        assert 'account="northfit-rentals",outcome="complete"} 1.0' in metrics
         assert "key_withdrawn" in withdrawal
         assert "node catalogue-2 has left" in done.stderr
         for log in directory.glob("*.log"):
