--- a/packages/endivebeam-http/src/endivebeam_http/_listeners.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_listeners.py
@@ -31,9 +31,8 @@
         self._max_body_bytes = max_body_bytes
         self._connections: set[ServerConnection] = set()
 
-    @property
-    def open_connections(self) -> int:
-        """Number of open connections."""
+    def __len__(self) -> int:
+        """Return the number of open connections."""
         return len(self._connections)
 
     async def serve(self, listener: anyio.abc.Listener[anyio.abc.ByteStream]) -> None:
--- a/packages/endivebeam-http/tests/test_connections.py
+++ b/packages/endivebeam-http/tests/test_connections.py
@@ -162,7 +162,7 @@
             pool = served.pool()
             await pool.request(Request(method="GET", target="/a"))
             served.server.drain()
-            while served.server.open_connections:
+            while len(served.server):
                 await anyio.lowlevel.checkpoint()
             response = await pool.request(Request(method="GET", target="/b"))
             assert response.body == b"/b "
--- a/packages/endivebeam-node/src/endivebeam_node/_config.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_config.py
@@ -3,18 +3,19 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 
-import msgspec
 from loguru import logger
 from returns.result import Success
 
 from endivebeam_model import (
     ConfigVersion,
-    IssueKey,
     KeyDigest,
     LogEntry,
+    OperationId,
+    PutContract,
+    PutService,
     Snapshot,
-    WithdrawKey,
     apply_entry,
+    describe_change,
 )
 
 RECENT_ENTRIES = 1024
@@ -59,6 +60,20 @@
             return found
         return []
 
+    def find_operation(self, op_id: OperationId) -> LogEntry | None:
+        """Return the recent entry of an operation."""
+        for entry in reversed(self._recent):
+            if entry.op_id == op_id:
+                return entry
+        return None
+
+    def find_entry(self, version: ConfigVersion) -> LogEntry | None:
+        """Return the entry of a version when it is recent."""
+        for entry in reversed(self._recent):
+            if entry.version == version:
+                return entry
+        return None
+
     def withdraw(self, digest: KeyDigest) -> bool:
         """Withdraw a key ahead of the log; return whether it is new."""
         if digest in self.withdrawn:
@@ -67,16 +82,31 @@
         self._notify()
         return True
 
+    def pending(self) -> list[KeyDigest]:
+        """Return the withdrawn keys whose withdrawal is not in the log yet."""
+        keys = self.snapshot.keys
+        return [d for d in self.withdrawn if d not in keys or not keys[d].withdrawn]
+
+    def count_pending(self) -> int:
+        """Return the number of withdrawals that are not in the log yet."""
+        return len(self.pending())
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener(self.snapshot)
 
 
 def redact_entry(entry: LogEntry) -> str:
-    """Describe a change for logs; keys appear as the start of their digest."""
+    """Describe a change for logs and the audit record, never with a key."""
     match entry.change:
-        case IssueKey(key=key):
-            return f"issue key {key.digest[:8]} of account {key.account}"
-        case WithdrawKey(digest=digest):
-            return f"withdraw key {digest[:8]}"
-    return msgspec.json.encode(entry.change).decode()
+        case PutContract(contract=contract):
+            services = ",".join(contract.services) or "all"
+            return (
+                f"put contract {contract.account}: rate_per_s={contract.rate_per_s:g} "
+                f"burst={contract.burst:g} retry_credits={contract.retry_credits} "
+                f"services={services}"
+            )
+        case PutService(service=service):
+            routes = ", ".join(f"{r.method} {r.path}" for r in service.routes)
+            return f"put service {service.service}: {routes}"
+    return describe_change(entry.change, Snapshot())
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -2,7 +2,6 @@
 
 import random
 import secrets
-import signal
 import socket
 import time
 from typing import cast
@@ -59,16 +58,20 @@
 from ._contacts import Contacts
 from ._fleet_view import FleetView
 from ._forward import TargetForwarder
+from ._gauges import add_gauges
 from ._inflight import InFlight
 from ._limits import RateLimits
 from ._members import Members
+from ._metrics import Metrics
 from ._nested import LocalHandler
 from ._once import OnceRunner, ask_outcome
 from ._peers import Peers
 from ._ports import Observation, Outcome
 from ._settings import Settings
+from ._stop import wait_for_stop
 from ._sync import Synchronizer
 from ._targets import Announcement, LocalTarget
+from ._versions import HeardVersions
 
 PORTS_CHECK_PERIOD_S = 0.05
 
@@ -97,6 +100,9 @@
         self.target = LocalTarget()
         self.in_flight = InFlight()
         self.members = Members(local=_local_member(settings))
+        self.versions = HeardVersions()
+        self._stop = anyio.Event()
+        self.metrics = Metrics()
         self._client = httpx.AsyncClient(base_url=settings.platform_url, timeout=5.0)
         self.contacts = Contacts(
             own_domain=DomainName(settings.domain), clock=time.monotonic
@@ -163,7 +169,10 @@
             rng=self._rng,
         )
         self.callers = CallerHandler(
-            config=self.config, calls=self.calls, take_token=self.rates.take_token
+            config=self.config,
+            calls=self.calls,
+            take_token=self.rates.take_token,
+            record=self.metrics.record,
         )
         self.local = LocalHandler(
             config=self.config,
@@ -178,6 +187,14 @@
         self._local_server = HttpServer(
             handler=self.local.handle, error_response=error_response
         )
+        add_gauges(
+            self.metrics,
+            config=self.config,
+            members=self.members,
+            calls=self.calls,
+            in_flight=self.in_flight,
+            connections=self._caller_server,
+        )
 
     async def run(self) -> None:
         """Listen, serve until a stop is asked for, then drain."""
@@ -202,7 +219,7 @@
             )
             logger.info("node: {} listens on {}", settings.node_id, ports)
             _write_ports(settings, ports)
-            await _wait_for_signal()
+            await wait_for_stop(self._stop)
             await self._drain()
             servers.cancel_scope.cancel()
         await self.peers.close()
@@ -231,6 +248,9 @@
             log=self.log,
             on_committed=self._on_committed,
             on_withdrawn=self._on_withdrawn,
+            versions=self.versions,
+            on_drain=self._stop.set,
+            render_metrics=self.metrics.render,
         )
         config = HypercornConfig()
         config.bind = [f"fd://{listener.fileno()}"]
@@ -244,7 +264,10 @@
             case CallRequest():
                 outcome = await self.calls.serve(request)
                 return _with_id(outcome, request.request_id)
-            case Heartbeat(request_id=request_id):
+            case Heartbeat(request_id=request_id, config_version=version):
+                if stream.remote is not None:
+                    now = anyio.current_time()
+                    self.versions.record(stream.remote.node_id, version, now)
                 return HeartbeatEcho(
                     request_id=request_id,
                     config_version=self.config.version,
@@ -278,6 +301,10 @@
         for member in self.members.live():
             if member.address == address:
                 self.contacts.note_echo(member.domain, echo)
+        node_id = self.peers.find_node(address)
+        if node_id is not None:
+            now = anyio.current_time()
+            self.versions.record(node_id, echo.config_version, now)
         if echo.config_version > self.config.version:
             self._tasks.start_soon(self.sync.pull_entries, address, echo.config_version)
 
@@ -308,11 +335,7 @@
         return
 
     def _busy(self) -> bool:
-        return bool(
-            self._caller_server.open_connections
-            or len(self.in_flight)
-            or len(self.once)
-        )
+        return bool(len(self._caller_server) or len(self.in_flight) or len(self.once))
 
     async def _ask_outcome(self, node_id: NodeId, op_id: OperationId) -> Known:
         return await ask_outcome(self.peers, self.members.find_address(node_id), op_id)
@@ -361,12 +384,6 @@
     partial.rename(path)
 
 
-async def _wait_for_signal() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
-
-
 def _with_id(outcome: Outcome, request_id: int) -> Outcome:
     return msgspec.structs.replace(outcome, request_id=request_id)
 
