--- /dev/null
+++ b/packages/endivebeam-membership/src/endivebeam_membership/_agent.py
@@ -0,0 +1,203 @@
+"""One node's part in the overlay, without any input or output."""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Protocol
+
+import msgspec
+
+from endivebeam_model import (
+    AgedMember,
+    ConfigVersion,
+    DomainName,
+    KeyDigest,
+    LogEntry,
+    Member,
+    MemberState,
+    NodeId,
+)
+
+from ._contacts import Contacts
+from ._detector import Detector
+from ._records import is_ended
+from ._rumors import MAX_BATCH, Batch, Rumors
+from ._table import MemberTable
+from ._tree import hash64
+
+REPAIR_DELAY_S = 5.0
+EXPIRY_PERIOD_S = 60.0
+
+
+class ConfigState(Protocol):
+    """The configuration copy of a node, as far as the overlay needs it."""
+
+    @property
+    def version(self) -> ConfigVersion:
+        """Version in force."""
+
+    @property
+    def withdrawn(self) -> frozenset[KeyDigest]:
+        """Keys withdrawn ahead of the log."""
+
+    def apply(self, entries: Sequence[LogEntry]) -> int:
+        """Apply the entries that follow; return how many were applied."""
+
+    def withdraw(self, digest: KeyDigest) -> bool:
+        """Withdraw a key ahead of the log; return whether it is new."""
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True):
+    """What two neighbors compare: configuration version and digest."""
+
+    version: ConfigVersion
+    digest: int
+
+
+class Ages(msgspec.Struct, frozen=True):
+    """Ages in seconds that an echo reports."""
+
+    domains: Mapping[DomainName, float] = {}
+    store: float | None = None
+
+
+class Advice(msgspec.Struct, frozen=True):
+    """What to do after comparing with a neighbor."""
+
+    pull: bool = False
+    repair: bool = False
+
+
+class Agent:
+    """Member table, failure detection, rumors and ages of one node.
+
+    Time is passed in. ``changed`` is called with each record that changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        config: ConfigState,
+        now: float,
+        changed: Callable[[Member], None] = lambda member: None,
+    ) -> None:
+        self.table = table
+        self.config = config
+        self.rumors = Rumors()
+        self.detector = Detector(now=now)
+        self.contacts = Contacts(domain=table.local.domain)
+        self.neighbors: tuple[NodeId, ...] = ()
+        self._changed = changed
+        self._differs_since: dict[NodeId, float] = {}
+        self._expired_at = now
+        self._links_stale = True
+        self._withdrawn: frozenset[KeyDigest] = frozenset()
+        self._withdrawn_digest = 0
+
+    def beat(self) -> Beat:
+        """Return what a heartbeat carries."""
+        if self.config.withdrawn is not self._withdrawn:
+            self._withdrawn = self.config.withdrawn
+            self._withdrawn_digest = 0
+            for key in self._withdrawn:
+                self._withdrawn_digest ^= hash64(key.encode())
+        digest = self.table.tree.root ^ self._withdrawn_digest
+        return Beat(self.config.version, digest)
+
+    def ages(self, now: float) -> Ages:
+        """Return what an echo reports beside the beat."""
+        return Ages(self.contacts.domain_ages(now), self.contacts.store_age(now))
+
+    def hear_echo(
+        self, peer: Member, beat: Beat, ages: Ages, *, sent_at: float, now: float
+    ) -> Advice:
+        """Take the echo of a heartbeat that was sent at a time."""
+        self.detector.heard(peer.node_id, now)
+        self.contacts.answered(peer.domain, sent_at)
+        self.contacts.learn(peer.domain, ages.domains, ages.store, sent_at)
+        return self.compare(peer.node_id, beat, now)
+
+    def compare(self, peer: NodeId, beat: Beat, now: float) -> Advice:
+        """Compare with a neighbor's beat and return what to do about it."""
+        own = self.beat()
+        pull = beat.version > own.version
+        if beat.digest == own.digest:
+            self._differs_since.pop(peer, None)
+            return Advice(pull=pull)
+        since = self._differs_since.setdefault(peer, now)
+        repair = now - since >= REPAIR_DELAY_S
+        if repair:
+            self._differs_since[peer] = now
+        return Advice(pull=pull, repair=repair)
+
+    def receive(self, batch: Batch, sender: NodeId | None, now: float) -> None:
+        """Take rumors and queue those that are news for the other neighbors."""
+        before = self.config.version
+        aged = [AgedMember(member, 0.0) for member in batch.members]
+        members = self._merge(aged, now)
+        withdrawn = tuple(d for d in batch.withdrawn if self.config.withdraw(d))
+        self.config.apply(batch.entries)
+        entries = tuple(
+            entry
+            for entry in batch.entries
+            if entry.version > before and self.rumors.is_new(entry.version)
+        )
+        self.rumors.publish(Batch(members, entries, withdrawn), sender)
+
+    def receive_repair(self, records: Sequence[AgedMember], now: float) -> int:
+        """Take records of a digest comparison; return how many were news."""
+        members = self._merge(records, now)
+        # A joining node learns everything this way and passes none of it on.
+        if len(members) <= MAX_BATCH:
+            self.rumors.publish(Batch(members))
+        return len(members)
+
+    def publish_local(self) -> None:
+        """Queue the own record for all neighbors."""
+        self._note([self.table.local])
+        self.rumors.publish(Batch(members=(self.table.local,)))
+
+    def tick(self, now: float) -> tuple[NodeId, ...]:
+        """Do what is due and return the nodes to probe over a new connection."""
+        if self.table.refresh(now):
+            self.publish_local()
+        if now - self._expired_at >= EXPIRY_PERIOD_S:
+            self._expired_at = now
+            if self.table.drop_expired(now):
+                self._links_stale = True
+        verdicts = self.detector.tick(now)
+        for node_id in verdicts.dead:
+            self._report_dead(node_id, now)
+        if self._links_stale:
+            self._relink(now)
+        return verdicts.probe
+
+    def _report_dead(self, node_id: NodeId, now: float) -> None:
+        record = self.table.get(node_id)
+        if record is None or is_ended(record):
+            return
+        dead = msgspec.structs.replace(record, state=MemberState.DEAD)
+        self.receive(Batch(members=(dead,)), None, now)
+
+    def _merge(self, records: Sequence[AgedMember], now: float) -> tuple[Member, ...]:
+        members = self.table.merge(records, now)
+        self._note(members)
+        return tuple(members)
+
+    def _note(self, members: Sequence[Member]) -> None:
+        if members:
+            self._links_stale = True
+        for member in members:
+            self._changed(member)
+
+    def _relink(self, now: float) -> None:
+        self._links_stale = False
+        overlay = self.table.overlay
+        self.neighbors = tuple(overlay.links())
+        self.rumors.set_neighbors(self.neighbors)
+        self.detector.watch(overlay.monitored(), now)
+        kept = set(self.neighbors)
+        self._differs_since = {
+            node_id: at
+            for node_id, at in self._differs_since.items()
+            if node_id in kept
+        }
--- a/packages/endivebeam-model/src/endivebeam_model/__init__.py
+++ b/packages/endivebeam-model/src/endivebeam_model/__init__.py
@@ -34,7 +34,7 @@
     ServiceName,
 )
 from ._lookup import authenticate, digest_key, find_route
-from ._members import Address, Member
+from ._members import Address, AgedMember, Member
 from ._refusals import Refusal
 from ._states import (
     Criticality,
@@ -49,6 +49,7 @@
     "DEFAULT_TIMEOUT_S",
     "AccountId",
     "Address",
+    "AgedMember",
     "ChainId",
     "Change",
     "ConfigVersion",
--- a/packages/endivebeam-model/src/endivebeam_model/_members.py
+++ b/packages/endivebeam-model/src/endivebeam_model/_members.py
@@ -30,3 +30,14 @@
     service: ServiceName
     slots: int
     state: MemberState
+
+
+class AgedMember(msgspec.Struct, frozen=True, array_like=True):
+    """A record and the seconds since its node last changed or refreshed it.
+
+    The age travels with the record, so that all nodes drop an old record at
+    about the same time without comparing wall clocks.
+    """
+
+    member: Member
+    age_s: float
--- a/packages/endivebeam-node/src/endivebeam_node/_callers.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_callers.py
@@ -1,6 +1,7 @@
 """The caller port: authenticates, admits and answers calls from outside."""
 
 import secrets
+from collections.abc import Callable
 from http import HTTPStatus
 
 from returns.pipeline import is_successful
@@ -30,6 +31,7 @@
 
 from ._calls import CallPath
 from ._config import ConfigCopy
+from ._outcomes import RETRY_AFTER_S
 from ._ports import TakeToken
 
 OPEN_ACCOUNT = AccountId("")
@@ -169,11 +171,17 @@
     """Handles requests of the caller port."""
 
     def __init__(
-        self, *, config: ConfigCopy, calls: CallPath, take_token: TakeToken
+        self,
+        *,
+        config: ConfigCopy,
+        calls: CallPath,
+        take_token: TakeToken,
+        is_isolated: Callable[[], bool],
     ) -> None:
         self._config = config
         self._calls = calls
         self._take_token = take_token
+        self._is_isolated = is_isolated
 
     async def handle(self, request: Request) -> Response:
         """Answer one request from outside."""
@@ -223,6 +231,8 @@
                     message="send the key as Authorization: Bearer or X-Api-Key",
                 )
             )
+        if self._is_isolated():
+            raise RefusedError(_isolated())
         if digest_key(key) in self._config.withdrawn:
             raise RefusedError(_key_refusal(RefusalReason.KEY_WITHDRAWN))
         known = authenticate(self._config.snapshot, key)
@@ -252,6 +262,15 @@
     return [Header(*f) for f in fields if f.name not in dropped]
 
 
+def _isolated() -> Refusal:
+    return Refusal(
+        reason=RefusalReason.ISOLATED,
+        message="this node reaches neither a peer nor the store and cannot check "
+        "keys; send the call to another node",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def _key_refusal(reason: RefusalReason) -> Refusal:
     if reason is RefusalReason.KEY_WITHDRAWN:
         message = "this key was withdrawn; ask the operator for a new one"
--- a/packages/endivebeam-node/src/endivebeam_node/_calls.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_calls.py
@@ -20,7 +20,7 @@
     StreamLostError,
 )
 
-from ._outcomes import NO_LOAD, RETRY_AFTER_S, refuse
+from ._outcomes import NO_LOAD, RETRY_AFTER_S, observe_outcome, refuse
 from ._peers import Peers, UnreachableError
 from ._ports import (
     Admit,
@@ -70,8 +70,8 @@
         started = time.monotonic()
         while True:
             left = call.timeout_ms - round((time.monotonic() - started) * 1000)
-            member = self._choose(call.service, excluded)
-            if member is None or left <= 0:
+            member = self._choose(call.service, excluded) if left > 0 else None
+            if member is None:
                 return _no_target(call, left)
             sent = msgspec.structs.replace(call, timeout_ms=left)
             outcome = await self._attempt(member, sent)
@@ -123,16 +123,17 @@
 
     async def _attempt(self, member: Member, call: CallRequest) -> Outcome:
         started = time.monotonic()
-        if member.node_id == self._local:
-            outcome = await self.serve(call)
-        else:
-            outcome = await self._ask_peer(member, call)
-        latency_s = time.monotonic() - started
-        if isinstance(outcome, CallAnswer):
-            self._observe(
-                member.node_id, Observation(latency_s=latency_s, load=outcome.load)
-            )
-        return outcome
+        observation = Observation()
+        try:
+            if member.node_id == self._local:
+                outcome = await self.serve(call)
+            else:
+                outcome = await self._ask_peer(member, call)
+            observation = observe_outcome(outcome, time.monotonic() - started)
+            return outcome
+        finally:
+            # Also when the caller is gone, so that the call is not counted forever.
+            self._observe(member.node_id, observation)
 
     async def _ask_peer(self, member: Member, call: CallRequest) -> Outcome:
         try:
--- a/packages/endivebeam-node/src/endivebeam_node/_config.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_config.py
@@ -18,6 +18,7 @@
 )
 
 RECENT_ENTRIES = 1024
+MAX_WITHDRAWN = 4096
 
 
 class ConfigCopy:
@@ -48,10 +49,22 @@
                     self._recent.append(entry)
                     applied += 1
         if applied:
+            self._drop_logged()
             logger.info("config: version {} in force", self.version)
             self._notify()
         return applied
 
+    def install(self, snapshot: Snapshot) -> bool:
+        """Replace the snapshot by one of a higher version; return whether it was."""
+        if snapshot.version <= self.version:
+            return False
+        self.snapshot = snapshot
+        self._recent.clear()
+        self._drop_logged()
+        logger.info("config: version {} in force from a snapshot", self.version)
+        self._notify()
+        return True
+
     def entries_after(self, version: ConfigVersion) -> list[LogEntry]:
         """Return recent entries after a version; empty when they are gone."""
         found = [entry for entry in self._recent if entry.version > version]
@@ -61,12 +74,25 @@
 
     def withdraw(self, digest: KeyDigest) -> bool:
         """Withdraw a key ahead of the log; return whether it is new."""
-        if digest in self.withdrawn:
+        if digest in self.withdrawn or self._is_logged(digest):
+            return False
+        if len(self.withdrawn) >= MAX_WITHDRAWN:
+            logger.error("config: more than {} withdrawals wait", MAX_WITHDRAWN)
             return False
         self.withdrawn = self.withdrawn | {digest}
         self._notify()
         return True
 
+    def _is_logged(self, digest: KeyDigest) -> bool:
+        key = self.snapshot.keys.get(digest)
+        return key is not None and key.withdrawn
+
+    def _drop_logged(self) -> None:
+        # The snapshot never reverts, so that a withdrawal in it needs no copy.
+        logged = {digest for digest in self.withdrawn if self._is_logged(digest)}
+        if logged:
+            self.withdrawn = self.withdrawn - logged
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener(self.snapshot)
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_config_sync.py
@@ -0,0 +1,247 @@
+"""Keeps the configuration in step with peers, the table and the object store."""
+
+import datetime
+
+import anyio
+import anyio.abc
+import msgspec
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from endivebeam_membership import Batch
+from endivebeam_model import (
+    ConfigVersion,
+    KeyDigest,
+    LogEntry,
+    OperationId,
+    Snapshot,
+    WithdrawKey,
+)
+from endivebeam_store import CommitError, ConfigLog, HttpObjects
+from endivebeam_wire import (
+    AskEntries,
+    AskSnapshot,
+    Entries,
+    PeerStream,
+    SnapshotPiece,
+    StreamFullError,
+    StreamLostError,
+)
+
+from ._config import ConfigCopy
+from ._members import Members
+
+POLL_PERIOD_S = 1.0
+PULL_TIMEOUT_S = 2.0
+POLLERS_PER_DOMAIN = 2
+SNAPSHOT_PERIOD = 500
+PIECE_BYTES = 512 << 10
+MAX_SNAPSHOT_BYTES = 256 << 20
+MAX_ENTRIES = 256
+MAX_PASSED_ON = 16
+
+
+def snapshot_name(number: int) -> str:
+    """Return the object that holds a snapshot of at least a number of periods.
+
+    >>> snapshot_name(3)
+    'config/snapshot/000000000003'
+    """
+    return f"config/snapshot/{number:012d}"
+
+
+class ConfigSync:
+    """Pulls, polls and stores the configuration.
+
+    ``synced`` becomes true when this node first has what a peer or the table
+    has; before that it cannot tell an unknown key from a new one.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        config: ConfigCopy,
+        log: ConfigLog,
+        objects: HttpObjects,
+    ) -> None:
+        self._members = members
+        self._config = config
+        self._log = log
+        self._objects = objects
+        self._pulling = False
+        self._encoded: tuple[ConfigVersion, bytes] = (ConfigVersion(0), b"")
+        self._stored = 0
+        self.synced = False
+
+    async def run(self) -> None:
+        """Poll the head of the log until cancelled, when it is this node's turn."""
+        while True:
+            if self._is_poller():
+                await self._poll()
+            await anyio.sleep(POLL_PERIOD_S)
+
+    def note_version(self, version: ConfigVersion) -> None:
+        """Note the version that a peer has."""
+        if version <= self._config.version:
+            self.synced = True
+
+    async def pull(self, stream: PeerStream) -> None:
+        """Fetch what is missing from a peer that has a higher version."""
+        if self._pulling:
+            return
+        self._pulling = True
+        try:
+            if not await self._pull_entries(stream):
+                await self._pull_snapshot(stream)
+        except (StreamLostError, StreamFullError, TimeoutError):
+            return
+        finally:
+            self._pulling = False
+
+    def answer_entries(self, request: AskEntries) -> Entries:
+        """Answer with recent changes; none when they are not kept any more."""
+        entries = self._config.entries_after(request.after)[:MAX_ENTRIES]
+        return Entries(request_id=request.request_id, entries=entries)
+
+    def answer_snapshot(self, request: AskSnapshot) -> SnapshotPiece:
+        """Answer with a piece of the snapshot in force."""
+        version, data = self._encode()
+        offset = request.offset if request.version == version else 0
+        return SnapshotPiece(
+            request_id=request.request_id,
+            version=version,
+            offset=offset,
+            size=len(data),
+            data=data[max(0, offset) : max(0, offset) + PIECE_BYTES],
+            withdrawn=() if offset else tuple(self._config.withdrawn),
+        )
+
+    def _is_poller(self) -> bool:
+        return self._members.is_first(POLLERS_PER_DOMAIN) or (
+            not self._members.has_peer()
+        )
+
+    async def _pull_entries(self, stream: PeerStream) -> bool:
+        pulled = False
+        while True:
+            asked = AskEntries(request_id=stream.next_id(), after=self._config.version)
+            with anyio.fail_after(PULL_TIMEOUT_S):
+                reply = await stream.ask(asked)
+            if not isinstance(reply, Entries) or not reply.entries:
+                return pulled
+            before = self._config.version
+            self._take(list(reply.entries), stream)
+            if self._config.version == before:
+                return pulled
+            pulled = True
+
+    def _take(self, entries: list[LogEntry], stream: PeerStream | None) -> None:
+        sender = None
+        if stream is not None and stream.remote is not None:
+            sender = stream.remote.node_id
+        if len(entries) > MAX_PASSED_ON:
+            # A node that was far behind is not the one to tell the others.
+            self._config.apply(entries)
+            return
+        batch = Batch(entries=tuple(entries))
+        self._members.agent.receive(batch, sender, anyio.current_time())
+
+    async def _pull_snapshot(self, stream: PeerStream) -> None:
+        data = bytearray()
+        asked = AskSnapshot(request_id=stream.next_id())
+        while True:
+            with anyio.fail_after(PULL_TIMEOUT_S):
+                piece = await stream.ask(asked)
+            if not isinstance(piece, SnapshotPiece) or not piece.data:
+                return
+            if piece.version <= self._config.version or (
+                piece.size > MAX_SNAPSHOT_BYTES
+            ):
+                return
+            if piece.offset != len(data):
+                # The peer has a newer version now and starts again.
+                data.clear()
+            data += piece.data
+            now = anyio.current_time()
+            self._members.agent.receive(Batch(withdrawn=piece.withdrawn), None, now)
+            if len(data) >= piece.size:
+                self._install(bytes(data))
+                return
+            asked = AskSnapshot(
+                request_id=stream.next_id(), version=piece.version, offset=len(data)
+            )
+
+    async def _poll(self) -> None:
+        match await self._log.read_head():
+            case Success(head):
+                await self._read_up_to(head)
+                self.note_version(head)
+                await self._log_withdrawals()
+                await self._store_snapshot()
+
+    async def _read_up_to(self, head: ConfigVersion) -> None:
+        if head - self._config.version > SNAPSHOT_PERIOD:
+            await self._read_snapshot(head)
+        while self._config.version < head:
+            following = ConfigVersion(self._config.version + 1)
+            match await self._log.read_entry(following):
+                case Success(LogEntry() as entry):
+                    self._take([entry], None)
+                case _:
+                    return
+            if self._config.version < following:
+                return
+
+    async def _read_snapshot(self, head: ConfigVersion) -> None:
+        newest = head // SNAPSHOT_PERIOD
+        for number in (newest, newest - 1):
+            match await self._objects.read(snapshot_name(number)):
+                case Success(bytes() as data):
+                    self._install(data)
+                    return
+
+    async def _store_snapshot(self) -> None:
+        # One node per domain writes it; the contents of equal names agree.
+        number = self._config.version // SNAPSHOT_PERIOD
+        if number <= self._stored or not self._members.is_first(1):
+            return
+        _, data = self._encode()
+        match await self._objects.write(snapshot_name(number), data):
+            case Success(_):
+                self._stored = number
+
+    async def _log_withdrawals(self) -> None:
+        for digest in sorted(self._config.withdrawn):
+            match await self._append_withdrawal(digest):
+                case Success(entry):
+                    self._take([entry], None)
+                case Failure(_):
+                    # Another node may have been first; the next poll tells.
+                    return
+
+    async def _append_withdrawal(
+        self, digest: KeyDigest
+    ) -> Result[LogEntry, CommitError]:
+        now = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
+        return await self._log.append(
+            change=WithdrawKey(digest=digest),
+            expected=self._config.version,
+            op_id=OperationId(f"withdraw-{digest}"),
+            operator="emergency",
+            at=now,
+        )
+
+    def _encode(self) -> tuple[ConfigVersion, bytes]:
+        if self._encoded[0] != self._config.version:
+            data = msgspec.json.encode(self._config.snapshot)
+            self._encoded = (self._config.version, data)
+        return self._encoded
+
+    def _install(self, data: bytes) -> None:
+        try:
+            snapshot = msgspec.json.decode(data, type=Snapshot)
+        except msgspec.DecodeError as error:
+            logger.warning("config: refused a malformed snapshot: {}", error)
+            return
+        self._config.install(snapshot)
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -32,39 +32,45 @@
     ServiceName,
     WithdrawKey,
 )
-from endivebeam_store import ConfigLog, HttpTable
+from endivebeam_store import ConfigLog, HttpObjects, HttpTable
 from endivebeam_wire import (
     PROTOCOL_VERSION,
     AskEntries,
+    AskSnapshot,
     CallRequest,
-    Entries,
+    DigestRequest,
+    ExchangeLeaves,
     Heartbeat,
     HeartbeatEcho,
     Hello,
     LoadReport,
-    MemberList,
     PeerStream,
     Reply,
     Request,
-    SyncMembers,
+    Rumor,
 )
 
 from ._admin import build_admin_app
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
 from ._config import ConfigCopy
+from ._config_sync import ConfigSync
 from ._forward import TargetForwarder
 from ._inflight import InFlight
+from ._joining import Joining
 from ._members import Members
 from ._nested import LocalHandler
+from ._overlay import Overlay
 from ._peers import Peers
-from ._ports import Forward, Observation, Outcome
+from ._ports import Forward, Outcome
+from ._routes import Routes
 from ._settings import Settings
-from ._sync import Synchronizer
 from ._targets import Announcement, LocalTarget
 
 MAX_CALLER_CONNECTIONS = 2048
 PORTS_CHECK_PERIOD_S = 0.05
+TARGET_CHECK_PERIOD_S = 0.2
+LEFT_SPREAD_S = 0.3
 
 SocketListener = anyio.abc.Listener[anyio.abc.SocketStream]
 
@@ -88,20 +94,36 @@
         self.config = ConfigCopy()
         self.target = LocalTarget()
         self.in_flight = InFlight()
-        self.members = Members(local=_local_member(settings))
+        self.members = Members(local=_local_member(settings), config=self.config)
         self._client = httpx.AsyncClient(base_url=settings.platform_url, timeout=5.0)
-        self.table = HttpTable(client=self._client)
+        self.table = HttpTable(
+            client=self._client, on_answer=self.members.store_answered
+        )
         self.log = ConfigLog(table=self.table)
         self.peers = Peers(
             tasks=tasks,
             answer=self._answer,
             hello=self._hello,
-            heartbeat=self._heartbeat,
+            heartbeat=lambda request_id: self.overlay.heartbeat(request_id),
             on_echo=self._on_echo,
+            on_lost=lambda stream: self.routes.lose(stream),
+            is_neighbor=lambda address: self.overlay.is_neighbor(address),
+        )
+        self.overlay = Overlay(
+            members=self.members, peers=self.peers, tasks=tasks, rng=self._rng
         )
-        self.sync = Synchronizer(
+        self.routes = Routes(
+            members=self.members, peers=self.peers, tasks=tasks, rng=self._rng
+        )
+        self.sync = ConfigSync(
             members=self.members,
             config=self.config,
+            log=self.log,
+            objects=HttpObjects(client=self._client),
+        )
+        self.joining = Joining(
+            members=self.members,
+            overlay=self.overlay,
             peers=self.peers,
             table=self.table,
             seeds=[Address(s.host, s.port) for s in settings.seeds],
@@ -116,14 +138,17 @@
         self.calls = CallPath(
             local=NodeId(settings.node_id),
             peers=self.peers,
-            choose=self._choose,
-            observe=self._observe,
+            choose=self.routes.choose,
+            observe=self.routes.observe,
             admit=self._admit,
             forward=self.forwarder.forward,
             run_once=self._run_once,
         )
         self.callers = CallerHandler(
-            config=self.config, calls=self.calls, take_token=self._take_token
+            config=self.config,
+            calls=self.calls,
+            take_token=self._take_token,
+            is_isolated=self._is_isolated,
         )
         self.local = LocalHandler(
             config=self.config,
@@ -133,6 +158,7 @@
             on_announcement=self._on_announcement,
         )
         self._connections: set[ServerConnection] = set()
+        self._stopping = False
 
     async def run(self) -> None:
         """Listen, serve until a stop is asked for, then drain."""
@@ -142,12 +168,16 @@
             local = await _listen("127.0.0.1", settings.local_port)
             peer = await _listen(settings.host, settings.peer_port)
             admin = socket.create_server((settings.host, settings.admin_port))
-            self.members.set_address(Address(settings.host, _port_of(peer)))
+            self.members.update_local(address=Address(settings.host, _port_of(peer)))
             servers.start_soon(caller.serve, self._serve_caller)
             servers.start_soon(local.serve, self._serve_local)
             servers.start_soon(peer.serve, self.peers.accept)
             servers.start_soon(self._serve_admin, admin)
+            servers.start_soon(self.overlay.run)
+            servers.start_soon(self.routes.run)
             servers.start_soon(self.sync.run)
+            servers.start_soon(self.joining.run)
+            servers.start_soon(self._watch_target)
             ports = Ports(
                 caller=_port_of(caller),
                 local=_port_of(local),
@@ -164,6 +194,7 @@
 
     async def _drain(self) -> None:
         logger.info("node: draining")
+        self._stopping = True
         self.calls.draining = True
         self.members.update_local(state=MemberState.DRAINING)
         for connection in list(self._connections):
@@ -174,6 +205,7 @@
             while self._connections or len(self.in_flight):
                 await anyio.sleep(PORTS_CHECK_PERIOD_S)
         self.members.update_local(state=MemberState.LEFT)
+        await anyio.sleep(LEFT_SPREAD_S)
         logger.info("node: drained")
 
     async def _serve_caller(self, stream: anyio.abc.SocketStream) -> None:
@@ -220,16 +252,21 @@
             case CallRequest():
                 outcome = await self.calls.serve(request)
                 return _with_id(outcome, request.request_id)
-            case Heartbeat(request_id=request_id):
-                return HeartbeatEcho(
-                    request_id=request_id, config_version=self.config.version
-                )
-            case SyncMembers(request_id=request_id, members=members):
-                self.members.merge(members)
-                return MemberList(request_id=request_id, members=self.members.all())
-            case AskEntries(request_id=request_id, after=after):
-                entries = self.config.entries_after(after)
-                return Entries(request_id=request_id, entries=entries)
+            case Heartbeat(request_id=request_id, config_version=version):
+                self.overlay.take_heartbeat(stream)
+                if version > self.config.version:
+                    self._tasks.start_soon(self.sync.pull, stream)
+                return self.overlay.echo(request_id)
+            case Rumor():
+                return self.overlay.take_rumor(stream, request)
+            case DigestRequest():
+                return self.overlay.answer_digests(request)
+            case ExchangeLeaves():
+                return self.overlay.exchange_leaves(request)
+            case AskEntries():
+                return self.sync.answer_entries(request)
+            case AskSnapshot():
+                return self.sync.answer_snapshot(request)
 
     def _hello(self) -> Hello:
         local = self.members.local
@@ -240,38 +277,40 @@
             domain=local.domain,
         )
 
-    def _heartbeat(self, request_id: int) -> Heartbeat:
-        return Heartbeat(request_id=request_id, config_version=self.config.version)
-
-    def _on_echo(self, address: Address, echo: HeartbeatEcho) -> None:
-        if echo.config_version > self.config.version:
-            self._tasks.start_soon(self.sync.pull_entries, address, echo.config_version)
+    def _on_echo(self, stream: PeerStream, echo: HeartbeatEcho, sent_at: float) -> None:
+        advice = self.overlay.take_echo(stream, echo, sent_at)
+        self.sync.note_version(echo.config_version)
+        if advice.pull:
+            self._tasks.start_soon(self.sync.pull, stream)
 
     def _on_announcement(self, announcement: Announcement) -> None:
+        if self._stopping:
+            return
+        self.calls.draining = announcement.state == "draining"
         state = MemberState.SERVING
-        if announcement.state == "draining":
+        if self.calls.draining:
             state = MemberState.DRAINING
         self.members.update_local(
             state=state, service=announcement.service, slots=announcement.slots
         )
 
+    async def _watch_target(self) -> None:
+        # A target that stopped announcing itself, or refused a connection, gets
+        # no calls until it announces itself again.
+        while True:
+            await anyio.sleep(TARGET_CHECK_PERIOD_S)
+            gone = self.target.current(anyio.current_time()) is None
+            if gone and not self._stopping:
+                self.members.update_local(state=MemberState.JOINING)
+
     def _on_committed(self, entry: LogEntry) -> None:
-        self.sync.spread(entry)
+        self.members.spread_entry(entry)
 
     async def _on_withdrawn(self, change: WithdrawKey) -> None:
-        self.config.withdraw(change.digest)
-
-    def _choose(
-        self, service: ServiceName, excluded: frozenset[NodeId]
-    ) -> Member | None:
-        found = [m for m in self.members.serving(service) if m.node_id not in excluded]
-        for member in found:
-            if member.node_id == self.members.local.node_id:
-                return member
-        return self._rng.choice(found) if found else None
-
-    def _observe(self, node_id: NodeId, observation: Observation) -> None:
-        return
+        self.members.spread_withdrawal(change.digest)
+
+    def _is_isolated(self) -> bool:
+        return self.members.is_isolated() or not self.sync.synced
 
     def _report_load(self) -> LoadReport:
         announcement = self.target.announcement
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_joining.py
@@ -0,0 +1,104 @@
+"""Finding the fleet: seed rows of the table and seed addresses of the settings."""
+
+import random
+from collections.abc import Sequence
+
+import anyio
+from returns.result import Success
+
+from endivebeam_model import Address
+from endivebeam_store import SEEDS_PER_DOMAIN, Seed, Table, read_seeds, write_seed
+from endivebeam_wire import PeerStream
+
+from ._members import Members
+from ._overlay import Overlay
+from ._peers import Peers, UnreachableError
+
+JOIN_PERIOD_S = 1.0
+SEED_PERIOD_S = 60.0
+MAX_ASKED = 4
+
+
+class Joining:
+    """Joins the fleet, and keeps the seed rows that others join through."""
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        overlay: Overlay,
+        peers: Peers,
+        table: Table,
+        seeds: Sequence[Address],
+        rng: random.Random,
+    ) -> None:
+        self._members = members
+        self._overlay = overlay
+        self._peers = peers
+        self._table = table
+        self._settings_seeds = list(seeds)
+        self._rng = rng
+        self._rank: int | None = None
+        self._written_at: float | None = None
+
+    async def run(self) -> None:
+        """Join, and refresh the seed rows until cancelled."""
+        while True:
+            lonely = not self._members.has_peer()
+            if lonely or self._is_due():
+                seeds = await self._read_seeds()
+                await self._write_seed()
+                await self._meet(seeds, lonely)
+            await anyio.sleep(JOIN_PERIOD_S * self._rng.uniform(0.5, 1.0))
+
+    def _is_due(self) -> bool:
+        rank = self._members.rank(SEEDS_PER_DOMAIN)
+        if rank is None:
+            self._rank = None
+            return False
+        if rank != self._rank or self._written_at is None:
+            return True
+        return anyio.current_time() - self._written_at >= SEED_PERIOD_S
+
+    async def _read_seeds(self) -> list[Seed]:
+        match await read_seeds(self._table):
+            case Success(seeds):
+                return list(seeds)
+        return []
+
+    async def _write_seed(self) -> None:
+        rank = self._members.rank(SEEDS_PER_DOMAIN)
+        if rank is None or not self._is_due():
+            return
+        local = self._members.local
+        seed = Seed(address=local.address, domain=local.domain)
+        match await write_seed(self._table, seed, slot=rank):
+            case Success(_):
+                self._rank = rank
+                self._written_at = anyio.current_time()
+
+    async def _meet(self, seeds: Sequence[Seed], lonely: bool) -> None:
+        """Compare with seeds that are not known, or with any when alone.
+
+        Nodes that started at the same time may form separate groups. The
+        refreshers read the seeds of all groups and so bring them together.
+        """
+        local = self._members.local
+        known = {member.address for member in self._members.live()}
+        addresses = [seed.address for seed in seeds] + self._settings_seeds
+        strange = {a for a in addresses if a != local.address}
+        if not lonely:
+            strange -= known
+        for address in self._rng.sample(sorted(strange, key=str), len(strange))[
+            :MAX_ASKED
+        ]:
+            await self._ask(address)
+
+    async def _ask(self, address: Address) -> None:
+        stream: PeerStream
+        try:
+            stream = await self._peers.connect(address)
+        except UnreachableError:
+            return
+        if stream.remote is not None:
+            await self._overlay.repair(stream)
--- a/packages/endivebeam-node/src/endivebeam_node/_members.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_members.py
@@ -1,42 +1,108 @@
-"""Member records known to this node."""
+"""The fleet as this node knows it, on this node's clock."""
 
-from collections.abc import Iterable
+from collections.abc import Callable
 
-import msgspec
+import anyio
 
-from endivebeam_model import Address, Member, MemberState, NodeId, ServiceName
+from endivebeam_membership import Agent, Batch, MemberTable
+from endivebeam_model import (
+    Address,
+    DomainName,
+    KeyDigest,
+    LogEntry,
+    Member,
+    MemberState,
+    NodeId,
+    ServiceName,
+)
 
-_ENDED = frozenset({MemberState.LEFT, MemberState.DEAD})
+from ._config import ConfigCopy
 
+ISOLATION_LIMIT_S = 3.0
 
-def supersedes(new: Member, old: Member) -> bool:
-    """Return whether a record replaces an older one of the same node."""
-    if new.incarnation != old.incarnation:
-        return new.incarnation > old.incarnation
-    if (new.state in _ENDED) != (old.state in _ENDED):
-        return new.state in _ENDED
-    return new.sequence > old.sequence
+OnChange = Callable[[Member], None]
 
 
 class Members:
-    """Latest record of every node."""
-
-    def __init__(self, *, local: Member) -> None:
-        self.local = local
-        self._records: dict[NodeId, Member] = {local.node_id: local}
-
-    def merge(self, records: Iterable[Member]) -> list[Member]:
-        """Take newer records and return those that changed something."""
-        changed = []
-        for record in records:
-            if record.node_id == self.local.node_id:
-                self._refute(record)
-                continue
-            old = self._records.get(record.node_id)
-            if old is None or supersedes(record, old):
-                self._records[record.node_id] = record
-                changed.append(record)
-        return changed
+    """Member records, contact ages and what this node tells the fleet."""
+
+    def __init__(self, *, local: Member, config: ConfigCopy) -> None:
+        now = anyio.current_time()
+        self._listeners: list[OnChange] = []
+        self._config = config
+        self.agent = Agent(
+            table=MemberTable(local=local, now=now),
+            config=config,
+            now=now,
+            changed=self._tell,
+        )
+
+    @property
+    def local(self) -> Member:
+        """This node's own record."""
+        return self.agent.table.local
+
+    def listen(self, listener: OnChange) -> None:
+        """Call a function with each record that changed."""
+        self._listeners.append(listener)
+
+    def get(self, node_id: NodeId) -> Member | None:
+        """Return the record of a node."""
+        return self.agent.table.get(node_id)
+
+    def all(self) -> list[Member]:
+        """Return all records."""
+        return self.agent.table.all()
+
+    def live(self) -> list[Member]:
+        """Return the records of other nodes that are neither gone nor dead."""
+        return self.agent.table.live()
+
+    def serving(self, service: ServiceName) -> list[Member]:
+        """Return the nodes whose target serves a service."""
+        return self.agent.table.serving(service)
+
+    def is_first(self, count: int) -> bool:
+        """Return whether this node is among the first of ring 0 of its domain."""
+        local = self.local
+        return local.node_id in self.agent.table.overlay.first(local.domain, count)
+
+    def rank(self, count: int) -> int | None:
+        """Return the place among the first nodes of the domain, or None."""
+        local = self.local
+        first = self.agent.table.overlay.first(local.domain, count)
+        return first.index(local.node_id) if local.node_id in first else None
+
+    def domain_ages(self) -> dict[DomainName, float]:
+        """Return the seconds since the latest contact with each domain.
+
+        Counted from before the heartbeat was sent. A contact of any node of
+        the own domain counts, once a neighbor has told of it.
+        """
+        return self.agent.contacts.domain_ages(anyio.current_time())
+
+    def store_age(self) -> float | None:
+        """Return the seconds since the store is known to have answered anyone."""
+        return self.agent.contacts.store_age(anyio.current_time())
+
+    def store_answered(self) -> None:
+        """Note an answer of the store to this node."""
+        self.agent.contacts.store_answered(anyio.current_time())
+
+    def has_peer(self) -> bool:
+        """Return whether a neighbor answered a heartbeat recently."""
+        return self._is_recent(self.agent.contacts.peer_at)
+
+    def is_isolated(self) -> bool:
+        """Return whether neither a neighbor nor the store answered recently.
+
+        Such a node does not learn of withdrawn keys. In a fleet of one node
+        only the store can answer.
+        """
+        contacts = self.agent.contacts
+        if self._is_recent(contacts.own_store_at):
+            return False
+        return not self.live() or not self._is_recent(contacts.peer_at)
 
     def update_local(
         self,
@@ -44,60 +110,31 @@
         state: MemberState | None = None,
         service: ServiceName | None = None,
         slots: int | None = None,
+        address: Address | None = None,
     ) -> bool:
-        """Change this node's own record; return whether it changed."""
-        new = msgspec.structs.replace(
-            self.local,
-            state=self.local.state if state is None else state,
-            service=self.local.service if service is None else service,
-            slots=self.local.slots if slots is None else slots,
+        """Change this node's own record and spread it; return whether it changed."""
+        changed = self.agent.table.update_local(
+            now=anyio.current_time(),
+            state=state,
+            service=service,
+            slots=slots,
+            address=address,
         )
-        if new == self.local:
-            return False
-        self._set_local(msgspec.structs.replace(new, sequence=new.sequence + 1))
-        return True
-
-    def set_address(self, address: Address) -> None:
-        """Set the peer address once the listening port is known."""
-        self._set_local(msgspec.structs.replace(self.local, address=address))
+        if changed:
+            self.agent.publish_local()
+        return changed
 
-    def mark_dead(self, member: Member) -> None:
-        """Record that a node was found dead."""
-        self.merge([msgspec.structs.replace(member, state=MemberState.DEAD)])
+    def spread_entry(self, entry: LogEntry) -> None:
+        """Apply a committed change and spread it."""
+        self.agent.receive(Batch(entries=(entry,)), None, anyio.current_time())
 
-    def all(self) -> list[Member]:
-        """Return all records."""
-        return list(self._records.values())
+    def spread_withdrawal(self, digest: KeyDigest) -> None:
+        """Withdraw a key ahead of the log and spread the withdrawal."""
+        self.agent.receive(Batch(withdrawn=(digest,)), None, anyio.current_time())
 
-    def live(self) -> list[Member]:
-        """Return the records of other nodes that are neither gone nor dead."""
-        return [
-            m
-            for m in self._records.values()
-            if m.state not in _ENDED and m.node_id != self.local.node_id
-        ]
+    def _is_recent(self, at: float | None) -> bool:
+        return at is not None and anyio.current_time() - at <= ISOLATION_LIMIT_S
 
-    def serving(self, service: ServiceName) -> list[Member]:
-        """Return the nodes whose target serves a service."""
-        return [
-            m
-            for m in self._records.values()
-            if m.service == service and m.state is MemberState.SERVING
-        ]
-
-    def _refute(self, record: Member) -> None:
-        # The record is from an earlier life of this node, or another node
-        # declared this one dead. A higher incarnation supersedes both.
-        stale = record.incarnation > self.local.incarnation
-        ended = record.state in _ENDED and self.local.state not in _ENDED
-        same = record.incarnation == self.local.incarnation
-        if stale or (same and (ended or record.sequence > self.local.sequence)):
-            self._set_local(
-                msgspec.structs.replace(
-                    self.local, incarnation=record.incarnation + 1, sequence=0
-                )
-            )
-
-    def _set_local(self, record: Member) -> None:
-        self.local = record
-        self._records[record.node_id] = record
+    def _tell(self, member: Member) -> None:
+        for listener in self._listeners:
+            listener(member)
--- a/packages/endivebeam-node/src/endivebeam_node/_outcomes.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_outcomes.py
@@ -1,12 +1,23 @@
 """Small helpers around the outcomes of calls."""
 
 from endivebeam_model import Refusal, RefusalReason, RunStatus
-from endivebeam_wire import CallRefused, LoadReport
+from endivebeam_wire import CallAnswer, CallRefused, LoadReport
+
+from ._ports import Observation, Outcome
 
 RETRY_AFTER_S = 1.0
 
 NO_LOAD = LoadReport(in_use=0, limit=0)
 
+_DEPARTING = frozenset({RefusalReason.DRAINING, RefusalReason.NO_TARGET})
+_FAILED = frozenset(
+    {
+        RefusalReason.OVERLOADED,
+        RefusalReason.TARGET_FAILED,
+        RefusalReason.DEADLINE_EXCEEDED,
+    }
+)
+
 
 def refuse(
     reason: RefusalReason,
@@ -22,3 +33,19 @@
         reason=reason, message=message, run=run, retry_after_s=retry_after_s
     )
     return CallRefused(request_id=0, refusal=refusal, retry_credits=credits, load=load)
+
+
+def observe_outcome(outcome: Outcome, latency_s: float) -> Observation:
+    """Return what an outcome tells about its target.
+
+    A target that fails or refuses at once looks idle, so that these outcomes
+    count against it; otherwise it would attract all calls.
+    """
+    if isinstance(outcome, CallAnswer):
+        failed = outcome.status >= 500
+        return Observation(latency_s=latency_s, load=outcome.load, failed=failed)
+    reason = outcome.refusal.reason
+    load = None if outcome.load == NO_LOAD else outcome.load
+    return Observation(
+        load=load, failed=reason in _FAILED, departing=reason in _DEPARTING
+    )
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_overlay.py
@@ -0,0 +1,280 @@
+"""Streams to the overlay neighbors: heartbeats, rumors, probes and repair."""
+
+import random
+
+import anyio
+import anyio.abc
+from loguru import logger
+
+from endivebeam_membership import (
+    Advice,
+    Ages,
+    Batch,
+    Beat,
+    find_differences,
+    is_ended,
+)
+from endivebeam_model import Address, Member, MemberState, NodeId
+from endivebeam_wire import (
+    DigestReply,
+    DigestRequest,
+    ExchangeLeaves,
+    Heartbeat,
+    HeartbeatEcho,
+    LeafRecords,
+    PeerStream,
+    Rumor,
+    RumorAck,
+    StreamFullError,
+    StreamLostError,
+)
+
+from ._members import Members
+from ._peers import Peers, UnreachableError
+
+TICK_S = 0.1
+RECONNECT_S = 0.25
+ASK_TIMEOUT_S = 2.0
+MAX_LEAVES = 32
+MAX_RECORDS = 1024
+
+
+class Overlay:
+    """Keeps a stream to each neighbor and exchanges news over it."""
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        peers: Peers,
+        tasks: anyio.abc.TaskGroup,
+        rng: random.Random,
+    ) -> None:
+        self._members = members
+        self._agent = members.agent
+        self._peers = peers
+        self._tasks = tasks
+        self._rng = rng
+        self._links: dict[NodeId, anyio.CancelScope] = {}
+        self._wakers: dict[NodeId, anyio.Event] = {}
+        self._addresses: frozenset[Address] = frozenset()
+        self._repairing = False
+        self._agent.rumors.wake = self._wake
+        members.listen(_log_change)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            now = anyio.current_time()
+            for node_id in self._agent.tick(now):
+                self._tasks.start_soon(self._probe, node_id)
+            self._reconcile()
+            await anyio.sleep(TICK_S)
+
+    def is_neighbor(self, address: Address) -> bool:
+        """Return whether a neighbor of the overlay has an address."""
+        return address in self._addresses
+
+    def heartbeat(self, request_id: int) -> Heartbeat:
+        """Return a heartbeat with what this node has."""
+        beat = self._agent.beat()
+        return Heartbeat(
+            request_id=request_id,
+            config_version=beat.version,
+            member_digest=beat.digest,
+        )
+
+    def echo(self, request_id: int) -> HeartbeatEcho:
+        """Return the answer to a heartbeat."""
+        beat = self._agent.beat()
+        ages = self._agent.ages(anyio.current_time())
+        return HeartbeatEcho(
+            request_id=request_id,
+            config_version=beat.version,
+            member_digest=beat.digest,
+            store_age_ms=-1 if ages.store is None else round(ages.store * 1000),
+            domain_ages_ms={
+                name: round(age_s * 1000) for name, age_s in ages.domains.items()
+            },
+        )
+
+    def take_echo(
+        self, stream: PeerStream, echo: HeartbeatEcho, sent_at: float
+    ) -> Advice:
+        """Take the echo of a heartbeat; start a repair when one is due."""
+        peer = self._sender(stream)
+        if peer is None:
+            return Advice()
+        ages = Ages(
+            {name: age_ms / 1000 for name, age_ms in echo.domain_ages_ms.items()},
+            None if echo.store_age_ms < 0 else echo.store_age_ms / 1000,
+        )
+        beat = Beat(echo.config_version, echo.member_digest)
+        advice = self._agent.hear_echo(
+            peer, beat, ages, sent_at=sent_at, now=anyio.current_time()
+        )
+        if advice.repair:
+            self._tasks.start_soon(self.repair, stream)
+        return advice
+
+    def take_heartbeat(self, stream: PeerStream) -> None:
+        """Tell a live node that it is reported dead, so that it can refute it."""
+        record = self._sender(stream)
+        if record is None or stream.remote is None:
+            return
+        if is_ended(record) and record.incarnation >= stream.remote.incarnation:
+            self._tasks.start_soon(self._send, stream, Batch(members=(record,)))
+
+    def take_rumor(self, stream: PeerStream, rumor: Rumor) -> RumorAck:
+        """Take news and pass on what is new here."""
+        sender = None if stream.remote is None else stream.remote.node_id
+        batch = Batch(rumor.members, rumor.entries, rumor.withdrawn)
+        self._agent.receive(batch, sender, anyio.current_time())
+        return RumorAck(request_id=rumor.request_id)
+
+    def answer_digests(self, request: DigestRequest) -> DigestReply:
+        """Answer a step of a digest comparison."""
+        now = anyio.current_time()
+        withdrawn = tuple(self._agent.config.withdrawn) if not request.level else ()
+        self._agent.receive(Batch(withdrawn=request.withdrawn), None, now)
+        digests = self._agent.table.tree.children(request.level, request.indexes)
+        return DigestReply(
+            request_id=request.request_id, digests=digests, withdrawn=withdrawn
+        )
+
+    def exchange_leaves(self, request: ExchangeLeaves) -> LeafRecords:
+        """Answer with the own records of leaves and take those of the asker."""
+        now = anyio.current_time()
+        own = self._agent.table.in_leaves(request.leaves[:MAX_LEAVES], now)
+        self._agent.receive_repair(request.records, now)
+        return LeafRecords(request_id=request.request_id, records=own[:MAX_RECORDS])
+
+    async def repair(self, stream: PeerStream) -> bool:
+        """Compare with a node and exchange what differs; return whether it ended."""
+        if self._repairing:
+            return False
+        self._repairing = True
+        try:
+            leaves = await self._compare(stream)
+            for start in range(0, len(leaves), MAX_LEAVES):
+                await self._exchange(stream, leaves[start : start + MAX_LEAVES])
+        except (StreamLostError, StreamFullError, TimeoutError):
+            return False
+        finally:
+            self._repairing = False
+        return True
+
+    async def _compare(self, stream: PeerStream) -> list[int]:
+        steps = find_differences(self._agent.table.tree)
+        query = next(steps)
+        while True:
+            withdrawn = () if query.level else tuple(self._agent.config.withdrawn)
+            request = DigestRequest(
+                request_id=stream.next_id(),
+                level=query.level,
+                indexes=query.indexes,
+                withdrawn=withdrawn,
+            )
+            with anyio.fail_after(ASK_TIMEOUT_S):
+                reply = await stream.ask(request)
+            if not isinstance(reply, DigestReply):
+                return []
+            now = anyio.current_time()
+            self._agent.receive(Batch(withdrawn=reply.withdrawn), None, now)
+            try:
+                query = steps.send(reply.digests)
+            except StopIteration as end:
+                leaves: list[int] = end.value
+                return leaves
+
+    async def _exchange(self, stream: PeerStream, leaves: list[int]) -> None:
+        own = self._agent.table.in_leaves(leaves, anyio.current_time())
+        request = ExchangeLeaves(
+            request_id=stream.next_id(),
+            leaves=tuple(leaves),
+            records=own[:MAX_RECORDS],
+        )
+        with anyio.fail_after(ASK_TIMEOUT_S):
+            reply = await stream.ask(request)
+        if isinstance(reply, LeafRecords):
+            self._agent.receive_repair(reply.records, anyio.current_time())
+
+    def _reconcile(self) -> None:
+        wanted = {
+            node_id: record.address
+            for node_id in self._agent.neighbors
+            if (record := self._members.get(node_id)) is not None
+        }
+        self._addresses = frozenset(wanted.values())
+        for node_id in list(self._links):
+            if node_id not in wanted:
+                self._links.pop(node_id).cancel()
+        for node_id in wanted:
+            if node_id not in self._links:
+                scope = self._links[node_id] = anyio.CancelScope()
+                self._tasks.start_soon(self._keep, node_id, scope)
+
+    async def _keep(self, node_id: NodeId, scope: anyio.CancelScope) -> None:
+        with scope:
+            while True:
+                record = self._members.get(node_id)
+                if record is not None:
+                    await self._talk(record)
+                await anyio.sleep(RECONNECT_S * self._rng.uniform(0.5, 1.5))
+
+    async def _talk(self, record: Member) -> None:
+        try:
+            stream = await self._peers.connect(record.address)
+        except UnreachableError:
+            return
+        node_id = record.node_id
+        if stream.remote is None or stream.remote.node_id != node_id:
+            return
+        while not stream.closed:
+            waker = self._wakers[node_id] = anyio.Event()
+            batch = self._agent.rumors.take(node_id)
+            if len(batch):
+                if not await self._send(stream, batch):
+                    self._agent.rumors.put_back(node_id, batch)
+                    return
+                continue
+            # Wakes up now and then to notice a stream that closed.
+            with anyio.move_on_after(RECONNECT_S):
+                await waker.wait()
+
+    async def _send(self, stream: PeerStream, batch: Batch) -> bool:
+        rumor = Rumor(
+            request_id=stream.next_id(),
+            members=batch.members,
+            entries=batch.entries,
+            withdrawn=batch.withdrawn,
+        )
+        try:
+            with anyio.fail_after(ASK_TIMEOUT_S):
+                await stream.ask(rumor)
+        except (StreamLostError, StreamFullError, TimeoutError):
+            return False
+        return True
+
+    async def _probe(self, node_id: NodeId) -> None:
+        record = self._members.get(node_id)
+        if record is None:
+            return
+        hello = await self._peers.probe(record.address)
+        if hello is not None and hello.node_id == node_id:
+            self._agent.detector.heard(node_id, anyio.current_time())
+
+    def _sender(self, stream: PeerStream) -> Member | None:
+        if stream.remote is None:
+            return None
+        return self._members.get(stream.remote.node_id)
+
+    def _wake(self, node_id: NodeId) -> None:
+        waker = self._wakers.get(node_id)
+        if waker is not None:
+            waker.set()
+
+
+def _log_change(member: Member) -> None:
+    if member.state is MemberState.DEAD:
+        logger.warning("members: node {} is dead", member.node_id)
--- a/packages/endivebeam-node/src/endivebeam_node/_peers.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_peers.py
@@ -26,7 +26,11 @@
 MAX_STREAMS = 512
 MAX_ACCEPTED = 1024
 
-OnEcho = Callable[[Address, HeartbeatEcho], None]
+OnEcho = Callable[[PeerStream, HeartbeatEcho, float], None]
+"""Takes the echo of a heartbeat and the time at which the heartbeat was sent."""
+
+OnLost = Callable[[PeerStream], None]
+"""Takes a stream that ended without this node closing it."""
 
 
 class UnreachableError(Exception):
@@ -34,7 +38,10 @@
 
 
 class Peers:
-    """Streams to other nodes, one per address, opened on first use."""
+    """Streams to other nodes, one per address, opened on first use.
+
+    ``is_neighbor`` tells the addresses that get heartbeats all the time.
+    """
 
     def __init__(
         self,
@@ -44,12 +51,17 @@
         hello: Callable[[], Hello],
         heartbeat: Callable[[int], Heartbeat],
         on_echo: OnEcho,
+        on_lost: OnLost = lambda stream: None,
+        is_neighbor: Callable[[Address], bool] = lambda address: True,
     ) -> None:
         self._tasks = tasks
         self._answer = answer
         self._hello = hello
         self._heartbeat = heartbeat
         self._on_echo = on_echo
+        self._on_lost = on_lost
+        self._is_neighbor = is_neighbor
+        self._closing = False
         self._streams: dict[Address, PeerStream] = {}
         self._opening: dict[Address, anyio.Lock] = {}
         self._accepted = 0
@@ -95,8 +107,27 @@
         stream = await self.connect(address)
         return await stream.ask(request)
 
+    async def probe(self, address: Address) -> Hello | None:
+        """Return the greeting of a node over a new connection, or None.
+
+        Another stream to the node may be silent while new connections work.
+        """
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                raw = await anyio.connect_tcp(address.host, address.port)
+                stream = PeerStream(
+                    stream=raw, answer=self._answer, local=self._hello()
+                )
+                try:
+                    return await stream.handshake()
+                finally:
+                    await stream.close()
+        except (OSError, TimeoutError, FrameError, StreamLostError):
+            return None
+
     async def close(self) -> None:
         """Close all streams that this node opened."""
+        self._closing = True
         for stream in list(self._streams.values()):
             await stream.close()
 
@@ -125,11 +156,17 @@
             tasks.cancel_scope.cancel()
         if self._streams.get(address) is stream:
             del self._streams[address]
+        if not self._closing:
+            self._on_lost(stream)
 
     async def _keep_alive(self, address: Address, stream: PeerStream) -> None:
         # A stream that went silent without FIN or RST is closed here, so that
-        # its requests fail and the next use opens a new connection.
+        # its requests fail and the next use opens a new connection. Streams that
+        # only carry calls get heartbeats only while a call waits on them.
         while not stream.closed:
+            if not (self._is_neighbor(address) or stream.waits):
+                await anyio.sleep(HEARTBEAT_PERIOD_S)
+                continue
             started = anyio.current_time()
             with anyio.move_on_after(SILENCE_LIMIT_S) as scope:
                 try:
@@ -137,7 +174,7 @@
                 except (StreamLostError, StreamFullError):
                     return
                 if isinstance(reply, HeartbeatEcho):
-                    self._on_echo(address, reply)
+                    self._on_echo(stream, reply, started)
             if scope.cancelled_caught and stream.last_received_at < started:
                 logger.warning("peers: stream to {} went silent", address.host)
                 await stream.close()
--- a/packages/endivebeam-node/src/endivebeam_node/_ports.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_ports.py
@@ -14,7 +14,11 @@
 """Takes one rate token of a client account; returns a refusal when there is none."""
 
 ChooseTarget = Callable[[ServiceName, frozenset[NodeId]], Member | None]
-"""Chooses a node whose target serves a service, without the excluded nodes."""
+"""Chooses a node whose target serves a service, without the excluded nodes.
+
+The choice counts as a call in progress until ``Observe`` gets the observation
+that ends it, so that each choice needs exactly one of these.
+"""
 
 Observe = Callable[[NodeId, "Observation"], None]
 """Tells the routing policy how a call to a node ended."""
@@ -35,11 +39,13 @@
 class Observation:
     """How a call to a node ended.
 
-    ``latency_s`` is None when no answer arrived. ``unreachable`` means that
-    no connection could be opened or that the stream was lost.
+    ``latency_s`` is None when nothing arrived. ``failed`` means that the
+    target did not do the work, ``departing`` that its node takes no calls.
+    ``unreachable`` means that no connection could be opened or that the stream
+    was lost; it is told at once and does not end the call.
     """
 
-    __slots__ = ("latency_s", "load", "unreachable")
+    __slots__ = ("departing", "failed", "latency_s", "load", "unreachable")
 
     def __init__(
         self,
@@ -47,7 +53,11 @@
         latency_s: float | None = None,
         load: LoadReport | None = None,
         unreachable: bool = False,
+        failed: bool = False,
+        departing: bool = False,
     ) -> None:
         self.latency_s = latency_s
         self.load = load
         self.unreachable = unreachable
+        self.failed = failed
+        self.departing = departing
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_routes.py
@@ -0,0 +1,89 @@
+"""Target choice on this node's clock, and the probes that routing asks for."""
+
+import random
+
+import anyio
+import anyio.abc
+
+from endivebeam_model import Member, MemberState, NodeId, ServiceName
+from endivebeam_routing import Result, Router
+from endivebeam_wire import PeerStream
+
+from ._members import Members
+from ._peers import Peers
+from ._ports import Observation
+
+PROBE_TICK_S = 0.1
+
+
+class Routes:
+    """Implements ``ChooseTarget`` and ``Observe`` on the router."""
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        peers: Peers,
+        tasks: anyio.abc.TaskGroup,
+        rng: random.Random,
+    ) -> None:
+        self._members = members
+        self._peers = peers
+        self._tasks = tasks
+        local = members.local
+        self._router = Router(
+            local=local.node_id, domain=local.domain, region=local.region, rng=rng
+        )
+        members.listen(self._update)
+
+    def choose(
+        self, service: ServiceName, excluded: frozenset[NodeId]
+    ) -> Member | None:
+        """Choose a node whose target serves a service, or None."""
+        serving = self._members.serving(service)
+        candidates = [m for m in serving if m.node_id not in excluded]
+        return self._router.choose(candidates, anyio.current_time())
+
+    def observe(self, node_id: NodeId, observation: Observation) -> None:
+        """Take how a call to a chosen node ended."""
+        now = anyio.current_time()
+        if observation.unreachable:
+            self._router.lose(node_id, now)
+            return
+        load = observation.load
+        if load is not None:
+            self._router.report(node_id, load.in_use, load.limit, now)
+        latency_s = observation.latency_s or 0.0
+        self._router.finish(node_id, _result_of(observation), now, latency_s)
+
+    def lose(self, stream: PeerStream) -> None:
+        """Take a stream that was reset or went silent."""
+        if stream.remote is not None:
+            self._router.lose(stream.remote.node_id, anyio.current_time())
+
+    async def run(self) -> None:
+        """Probe lost targets until cancelled."""
+        while True:
+            for member in self._router.probes_due(anyio.current_time()):
+                self._tasks.start_soon(self._probe, member)
+            await anyio.sleep(PROBE_TICK_S)
+
+    async def _probe(self, member: Member) -> None:
+        hello = await self._peers.probe(member.address)
+        answered = hello is not None and hello.node_id == member.node_id
+        now = anyio.current_time()
+        self._router.finish_probe(member.node_id, answered=answered, now=now)
+
+    def _update(self, member: Member) -> None:
+        serving = member.state is MemberState.SERVING
+        self._router.update(member, serving=serving, now=anyio.current_time())
+
+
+def _result_of(observation: Observation) -> Result:
+    if observation.departing:
+        return Result.DEPARTING
+    if observation.failed:
+        return Result.FAILED
+    if observation.latency_s is not None:
+        return Result.ANSWERED
+    return Result.UNKNOWN
--- a/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
@@ -12,10 +12,12 @@
 
 from endivebeam_model import (
     AccountId,
+    AgedMember,
     ChainId,
     ConfigVersion,
     Criticality,
     DomainName,
+    KeyDigest,
     LogEntry,
     Member,
     NodeId,
@@ -33,6 +35,13 @@
 PathText = Annotated[str, msgspec.Meta(max_length=8192)]
 Body = Annotated[bytes, msgspec.Meta(max_length=MAX_BODY_BYTES)]
 
+RumorMembers = Annotated[tuple[Member, ...], msgspec.Meta(max_length=64)]
+RumorEntries = Annotated[tuple[LogEntry, ...], msgspec.Meta(max_length=64)]
+KeyDigests = Annotated[tuple[KeyDigest, ...], msgspec.Meta(max_length=4096)]
+Indexes = Annotated[tuple[int, ...], msgspec.Meta(max_length=256)]
+Digests = Annotated[list[int], msgspec.Meta(max_length=4096)]
+AgedMembers = Annotated[list[AgedMember], msgspec.Meta(max_length=4096)]
+
 
 class Header(NamedTuple):
     """One HTTP header field; the name is in lower case."""
@@ -137,34 +146,114 @@
     request_id: int
 
 
-class SyncMembers(_Message, frozen=True, kw_only=True, tag=8):
-    """Sends member records and asks for those of the receiver."""
+class AskEntries(_Message, frozen=True, kw_only=True, tag=10):
+    """Asks for committed changes after a version."""
 
     request_id: int
-    members: Sequence[Member]
+    after: ConfigVersion
 
 
-class MemberList(_Message, frozen=True, kw_only=True, tag=9):
-    """Member records of the sender."""
+class Entries(_Message, frozen=True, kw_only=True, tag=11):
+    """Committed changes in order of version; may be fewer than asked for."""
 
     request_id: int
-    members: Sequence[Member]
+    entries: Sequence[LogEntry]
 
 
-class AskEntries(_Message, frozen=True, kw_only=True, tag=10):
-    """Asks for committed changes after a version."""
+class Rumor(_Message, frozen=True, kw_only=True, tag=30):
+    """News that each node passes on once; the acknowledgement paces the sender."""
 
     request_id: int
-    after: ConfigVersion
+    members: RumorMembers = ()
+    entries: RumorEntries = ()
+    withdrawn: KeyDigests = ()
 
 
-class Entries(_Message, frozen=True, kw_only=True, tag=11):
-    """Committed changes in order of version; may be fewer than asked for."""
+class RumorAck(_Message, frozen=True, kw_only=True, tag=31):
+    """The rumors arrived."""
 
     request_id: int
-    entries: Sequence[LogEntry]
 
 
-Request = Heartbeat | CallRequest | SyncMembers | AskEntries
-Reply = HeartbeatEcho | CallAnswer | CallRefused | MemberList | Entries
+class DigestRequest(_Message, frozen=True, kw_only=True, tag=32):
+    """Asks for the digests below nodes of the receiver's hash tree.
+
+    ``withdrawn`` are the keys that the sender knows to be withdrawn ahead of
+    the configuration log. The sets are exchanged with the first level.
+    """
+
+    request_id: int
+    level: int
+    indexes: Indexes
+    withdrawn: KeyDigests = ()
+
+
+class DigestReply(_Message, frozen=True, kw_only=True, tag=33):
+    """Digests of the children, sixteen for each index that was asked for."""
+
+    request_id: int
+    digests: Digests
+    withdrawn: KeyDigests = ()
+
+
+class ExchangeLeaves(_Message, frozen=True, kw_only=True, tag=34):
+    """Sends the records of differing leaves and asks for the receiver's."""
+
+    request_id: int
+    leaves: Indexes
+    records: AgedMembers
+
+
+class LeafRecords(_Message, frozen=True, kw_only=True, tag=35):
+    """The receiver's records of the leaves."""
+
+    request_id: int
+    records: AgedMembers
+
+
+class AskSnapshot(_Message, frozen=True, kw_only=True, tag=36):
+    """Asks for a piece of an encoded snapshot.
+
+    ``version`` 0 asks for the first piece of the snapshot in force.
+    """
+
+    request_id: int
+    version: ConfigVersion = ConfigVersion(0)
+    offset: int = 0
+
+
+class SnapshotPiece(_Message, frozen=True, kw_only=True, tag=37):
+    """A piece of the snapshot of a version; its encoding is JSON.
+
+    A piece of another version than was asked for starts at offset 0 again.
+    ``size`` is the length of the whole encoding.
+    """
+
+    request_id: int
+    version: ConfigVersion
+    offset: int
+    size: int
+    data: Body
+    withdrawn: KeyDigests = ()
+
+
+Request = (
+    Heartbeat
+    | CallRequest
+    | AskEntries
+    | Rumor
+    | DigestRequest
+    | ExchangeLeaves
+    | AskSnapshot
+)
+Reply = (
+    HeartbeatEcho
+    | CallAnswer
+    | CallRefused
+    | Entries
+    | RumorAck
+    | DigestReply
+    | LeafRecords
+    | SnapshotPiece
+)
 Message = Hello | CancelCall | Request | Reply
--- a/packages/endivebeam-wire/src/endivebeam_wire/_streams.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_streams.py
@@ -96,6 +96,11 @@
                 return first
         raise StreamLostError("peer did not greet in time")
 
+    @property
+    def waits(self) -> bool:
+        """Whether a request waits for its reply."""
+        return bool(self._waiters)
+
     def next_id(self) -> int:
         """Return a request id that was never used on this stream."""
         return next(self._ids)
