Run overlay agents on a virtual clock and a network in memory

Process tests cannot show bounds in time, because they depend on the load of the machine. The virtual fleet drives the same agents that the daemon drives, with dropped, delayed and duplicated messages, cuts, pauses and restarts, and repeats exactly with a seed.

--- a/packages/endivebeam-membership/src/endivebeam_membership/_agent.py
+++ b/packages/endivebeam-membership/src/endivebeam_membership/_agent.py
@@ -192,9 +192,10 @@
     def _relink(self, now: float) -> None:
         self._links_stale = False
         overlay = self.table.overlay
-        self.neighbors = tuple(overlay.links())
+        local = self.table.local.node_id
+        self.neighbors = tuple(overlay.links(local))
         self.rumors.set_neighbors(self.neighbors)
-        self.detector.watch(overlay.monitored(), now)
+        self.detector.watch(overlay.monitored(local), now)
         kept = set(self.neighbors)
         self._differs_since = {
             node_id: at
--- a/packages/endivebeam-membership/src/endivebeam_membership/_overlay.py
+++ b/packages/endivebeam-membership/src/endivebeam_membership/_overlay.py
@@ -52,15 +52,14 @@
 
 
 class Overlay:
-    """The links of one node: a few, whatever the size of the fleet.
+    """The links of the nodes of a domain: a few, whatever the size of the fleet.
 
     Four rings inside the domain, one over the fleet, and one link to another
     domain. The other domain follows from the node's rank in ring 0, so that
     the nodes of a domain together reach all other domains.
     """
 
-    def __init__(self, *, local: NodeId, domain: DomainName) -> None:
-        self._local = local
+    def __init__(self, *, domain: DomainName) -> None:
         self._domain = domain
         self._fleet = Ring(number=FLEET_RING)
         self._first: dict[DomainName, Ring] = {}
@@ -97,43 +96,44 @@
         ring = self._first.get(domain)
         return [] if ring is None else ring.first(count)
 
-    def monitored(self) -> list[NodeId]:
-        """Return the successors inside the domain, which this node monitors."""
+    def monitored(self, local: NodeId) -> list[NodeId]:
+        """Return the successors inside the domain, which a node monitors."""
         own = self._first.get(self._domain)
         if own is None:
             return []
-        found = [ring.successor(self._local) for ring in (own, *self._own)]
-        return self._distinct(found)
-
-    def links(self) -> list[NodeId]:
-        """Return all successors to which this node keeps streams."""
-        found: list[NodeId | None] = [*self.monitored()]
-        found.append(self._fleet.successor(self._local))
-        found.append(self._other_domain())
-        links = self._distinct(found)
+        found = [ring.successor(local) for ring in (own, *self._own)]
+        return _distinct(found, local)
+
+    def links(self, local: NodeId) -> list[NodeId]:
+        """Return all successors to which a node keeps streams."""
+        found: list[NodeId | None] = [*self.monitored(local)]
+        found.append(self._fleet.successor(local))
+        found.append(self._other_domain(local))
+        links = _distinct(found, local)
         distance = 2
         # A small domain has fewer distinct successors than rings; more nodes of
         # the fleet ring keep the overlay connected when one of them fails.
         while len(links) < MIN_LINKS and distance < len(self._fleet):
-            found.append(self._fleet.successor(self._local, distance))
-            links = self._distinct(found)
+            found.append(self._fleet.successor(local, distance))
+            links = _distinct(found, local)
             distance += 1
         return links
 
-    def _other_domain(self) -> NodeId | None:
+    def _other_domain(self, local: NodeId) -> NodeId | None:
         others = [name for name in self.domains if name != self._domain]
         own = self._first.get(self._domain)
         if not others or own is None:
             return None
         offset = hash64(self._domain.encode())
-        chosen = others[(offset + own.rank(self._local)) % len(others)]
-        return self._first[chosen].successor(self._local)
-
-    def _distinct(self, found: list[NodeId | None]) -> list[NodeId]:
-        named = [node_id for node_id in found if node_id is not None]
-        return [n for n in dict.fromkeys(named) if n != self._local]
+        chosen = others[(offset + own.rank(local)) % len(others)]
+        return self._first[chosen].successor(local)
 
     def _rings_of(self, domain: DomainName) -> list[Ring]:
         first = self._first.setdefault(domain, Ring(number=0))
         own = self._own if domain == self._domain else []
         return [self._fleet, first, *own]
+
+
+def _distinct(found: list[NodeId | None], local: NodeId) -> list[NodeId]:
+    named = [node_id for node_id in found if node_id is not None]
+    return [node_id for node_id in dict.fromkeys(named) if node_id != local]
--- a/packages/endivebeam-membership/src/endivebeam_membership/_table.py
+++ b/packages/endivebeam-membership/src/endivebeam_membership/_table.py
@@ -33,7 +33,7 @@
     def __init__(self, *, local: Member, now: float) -> None:
         self.local = local
         self.tree = HashTree()
-        self.overlay = Overlay(local=local.node_id, domain=local.domain)
+        self.overlay = Overlay(domain=local.domain)
         self._records: dict[NodeId, Member] = {}
         self._changed_at: dict[NodeId, float] = {}
         self._by_service: dict[ServiceName, dict[NodeId, Member]] = {}
--- a/packages/endivebeam-node/src/endivebeam_node/_config_sync.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_config_sync.py
@@ -82,8 +82,12 @@
             await anyio.sleep(POLL_PERIOD_S)
 
     def note_version(self, version: ConfigVersion) -> None:
-        """Note the version that a peer has."""
-        if version <= self._config.version:
+        """Note the version that a peer has.
+
+        A peer without any configuration may itself be joining, and proves
+        nothing.
+        """
+        if 0 < version <= self._config.version:
             self.synced = True
 
     async def pull(self, stream: PeerStream) -> None:
@@ -176,7 +180,7 @@
         match await self._log.read_head():
             case Success(head):
                 await self._read_up_to(head)
-                self.note_version(head)
+                self.synced = self.synced or head <= self._config.version
                 await self._log_withdrawals()
                 await self._store_snapshot()
 
--- a/packages/endivebeam-node/src/endivebeam_node/_overlay.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_overlay.py
@@ -209,6 +209,7 @@
         for node_id in list(self._links):
             if node_id not in wanted:
                 self._links.pop(node_id).cancel()
+                self._wakers.pop(node_id, None)
         for node_id in wanted:
             if node_id not in self._links:
                 scope = self._links[node_id] = anyio.CancelScope()
--- a/packages/endivebeam-node/src/endivebeam_node/_peers.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_peers.py
@@ -23,6 +23,7 @@
 CONNECT_TIMEOUT_S = 1.0
 HEARTBEAT_PERIOD_S = 0.5
 SILENCE_LIMIT_S = 1.0
+PAUSE_LIMIT_S = 0.5
 MAX_STREAMS = 512
 MAX_ACCEPTED = 1024
 
@@ -175,6 +176,10 @@
                     return
                 if isinstance(reply, HeartbeatEcho):
                     self._on_echo(stream, reply, started)
+            late_s = anyio.current_time() - started - SILENCE_LIMIT_S
+            if late_s > PAUSE_LIMIT_S:
+                # This process itself did not run; the peer had no chance to answer.
+                continue
             if scope.cancelled_caught and stream.last_received_at < started:
                 logger.warning("peers: stream to {} went silent", address.host)
                 await stream.close()
--- a/packages/endivebeam-standins/src/endivebeam_standins/__init__.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/__init__.py
@@ -2,12 +2,19 @@
 
 from ._fleet import Fleet, FleetNode, run_fleet, wait_for
 from ._platform import PlatformState, build_platform_app
+from ._virtual import VirtualFleet
+from ._virtual_state import VirtualConfig, VirtualNode, VirtualStore, make_member
 
 __all__ = [
     "Fleet",
     "FleetNode",
     "PlatformState",
+    "VirtualConfig",
+    "VirtualFleet",
+    "VirtualNode",
+    "VirtualStore",
     "build_platform_app",
+    "make_member",
     "run_fleet",
     "wait_for",
 ]
--- /dev/null
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_virtual.py
@@ -0,0 +1,305 @@
+"""A fleet of overlay agents on a virtual clock and a network in memory.
+
+The network drops, delays and duplicates messages, and cuts links between
+nodes. Nodes can be paused, killed and restarted. Nothing sleeps, so that hours
+of a fleet pass in moments and every run repeats exactly.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from endivebeam_membership import (
+    Advice,
+    Agent,
+    Ages,
+    Batch,
+    Beat,
+    ConfigState,
+    MemberTable,
+    find_differences,
+)
+from endivebeam_model import Member, MemberState, NodeId
+
+from ._virtual_state import VirtualConfig, VirtualNode, VirtualStore, make_member
+
+TICK_S = 0.1
+HEARTBEAT_S = 0.5
+POLL_S = 1.0
+RETRY_S = 0.25
+POLLERS = 2
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class VirtualFleet:
+    """Nodes, the network between them and the store.
+
+    ``is_cut`` decides for each message whether the link between two nodes is
+    cut; ``drop`` and ``duplicate`` are probabilities.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        delay_s: float = 0.002,
+        make_config: Callable[[], ConfigState] = VirtualConfig,
+    ) -> None:
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.nodes: dict[NodeId, VirtualNode] = {}
+        self.store = VirtualStore()
+        self.delay_s = delay_s
+        self.drop = 0.0
+        self.duplicate = 0.0
+        self.is_cut: Callable[[VirtualNode, VirtualNode], bool] = lambda a, b: False
+        self._make_config = make_config
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def start(
+        self,
+        node_id: str,
+        domain: str,
+        *,
+        seeds: Sequence[NodeId] = (),
+        known: Sequence[Member] = (),
+    ) -> VirtualNode:
+        """Start a node, or start it again with nothing left of its state."""
+        local = make_member(node_id, domain)
+        agent = Agent(
+            table=MemberTable(local=local, now=self.now),
+            config=self._make_config(),
+            now=self.now,
+        )
+        node = VirtualNode(agent=agent)
+        self.nodes[local.node_id] = node
+        agent.receive(Batch(members=tuple(known)), None, self.now)
+        agent.rumors.wake = lambda peer: self.flush(node, peer)
+        offset = self.rng.random()
+        self.after(offset * TICK_S, lambda: self._tick(node))
+        self.after(offset * HEARTBEAT_S, lambda: self._heartbeat(node))
+        self.after(offset * POLL_S, lambda: self._poll(node, seeds))
+        return node
+
+    def kill(self, node: VirtualNode) -> None:
+        """Stop a node for good, without a word."""
+        node.alive = False
+
+    def pause(self, node: VirtualNode) -> None:
+        """Stop a node like SIGSTOP does; what arrives waits."""
+        node.paused = True
+
+    def resume(self, node: VirtualNode) -> None:
+        """Continue a paused node."""
+        node.paused = False
+        waiting, node.inbox = node.inbox, []
+        for run in waiting:
+            run()
+
+    def after(self, delay_s: float, run: Callable[[], None]) -> None:
+        """Call a function at a later virtual time."""
+        heapq.heappush(self._events, (self.now + delay_s, next(self._order), run))
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, run = heapq.heappop(self._events)
+            run()
+        self.now = end
+
+    def run_until(self, condition: Callable[[], bool], limit_s: float) -> float:
+        """Let time pass until a condition holds; return how long it took.
+
+        Returns infinity when the condition does not hold within the limit.
+        """
+        started = self.now
+        while self.now - started <= limit_s:
+            if condition():
+                return self.now - started
+            self.run(0.05)
+        return float("inf")
+
+    def live(self) -> list[VirtualNode]:
+        """Return the nodes that run."""
+        return [n for n in self.nodes.values() if n.alive and not n.paused]
+
+    def flush(self, node: VirtualNode, peer_id: NodeId) -> None:
+        """Send what waits for a neighbor; one batch is under way at a time."""
+        if peer_id in node.sending or not node.alive or node.paused:
+            return
+        batch = node.agent.rumors.take(peer_id)
+        if not len(batch):
+            return
+        node.sending.add(peer_id)
+        node.bytes_sent += len(_encode(batch))
+
+        def arrive(peer: VirtualNode) -> None:
+            peer.agent.receive(batch, node.node_id, self.now)
+
+        def done(arrived: bool) -> None:
+            node.sending.discard(peer_id)
+            if not arrived:
+                node.agent.rumors.put_back(peer_id, batch)
+                self.after(RETRY_S, lambda: self.flush(node, peer_id))
+                return
+            self.flush(node, peer_id)
+
+        self.send(node, peer_id, arrive, done)
+
+    def send(
+        self,
+        node: VirtualNode,
+        peer_id: NodeId,
+        arrive: Callable[[VirtualNode], None],
+        done: Callable[[bool], None] = lambda arrived: None,
+    ) -> None:
+        """Carry a message to a node and tell the sender whether it arrived."""
+        peer = self.nodes.get(peer_id)
+        lost = peer is None or not peer.alive or self.is_cut(node, peer)
+        if lost or self.rng.random() < self.drop or peer is None:
+            self.after(RETRY_S, lambda: done(False))
+            return
+        target = peer
+
+        def deliver() -> None:
+            if target.paused:
+                target.inbox.append(lambda: arrive(target))
+            elif target.alive:
+                arrive(target)
+
+        copies = 2 if self.rng.random() < self.duplicate else 1
+        for _ in range(copies):
+            self.after(self._delay(), deliver)
+        self.after(self._delay() + self._delay(), lambda: done(True))
+
+    def repair(self, node: VirtualNode, peer_id: NodeId) -> None:
+        """Compare two nodes and exchange what differs."""
+
+        def arrive(peer: VirtualNode) -> None:
+            steps = find_differences(node.agent.table.tree)
+            query = next(steps)
+            try:
+                while True:
+                    tree = peer.agent.table.tree
+                    query = steps.send(tree.children(query.level, query.indexes))
+            except StopIteration as end:
+                leaves: list[int] = end.value
+            ours = node.agent.table.in_leaves(leaves, self.now)
+            theirs = peer.agent.table.in_leaves(leaves, self.now)
+            node.bytes_sent += len(_encode(ours))
+            peer.bytes_sent += len(_encode(theirs))
+            peer.agent.receive_repair(ours, self.now)
+            node.agent.receive_repair(theirs, self.now)
+            for one, other in ((node, peer), (peer, node)):
+                withdrawn = Batch(withdrawn=tuple(one.agent.config.withdrawn))
+                other.agent.receive(withdrawn, None, self.now)
+
+        self.send(node, peer_id, arrive)
+
+    def _tick(self, node: VirtualNode) -> None:
+        if not node.alive:
+            return
+        if not node.paused:
+            for peer_id in node.agent.tick(self.now):
+                self._probe(node, peer_id)
+        self.after(TICK_S, lambda: self._tick(node))
+
+    def _probe(self, node: VirtualNode, peer_id: NodeId) -> None:
+        def arrive(peer: VirtualNode) -> None:
+            if not self.is_cut(peer, node):
+                node.agent.detector.heard(peer_id, self.now)
+
+        self.send(node, peer_id, arrive)
+
+    def _heartbeat(self, node: VirtualNode) -> None:
+        if not node.alive:
+            return
+        if not node.paused:
+            for peer_id in node.agent.neighbors:
+                self._beat(node, peer_id)
+        self.after(HEARTBEAT_S, lambda: self._heartbeat(node))
+
+    def _beat(self, node: VirtualNode, peer_id: NodeId) -> None:
+        sent_at = self.now
+        node.bytes_sent += len(_encode(node.agent.beat())) + 8
+
+        def arrive(peer: VirtualNode) -> None:
+            self._tell_dead(peer, node)
+            beat, ages = peer.agent.beat(), peer.agent.ages(self.now)
+            peer.bytes_sent += len(_encode((beat, ages))) + 8
+            self.send(
+                peer,
+                node.node_id,
+                lambda _: self._echo(node, peer, beat, ages, sent_at),
+            )
+
+        self.send(node, peer_id, arrive)
+
+    def _tell_dead(self, peer: VirtualNode, node: VirtualNode) -> None:
+        record = peer.agent.table.get(node.node_id)
+        if record is not None and record.state is MemberState.DEAD:
+            batch = Batch(members=(record,))
+            self.send(
+                peer,
+                node.node_id,
+                lambda _: node.agent.receive(batch, peer.node_id, self.now),
+            )
+
+    def _echo(
+        self,
+        node: VirtualNode,
+        peer: VirtualNode,
+        beat: Beat,
+        ages: Ages,
+        sent_at: float,
+    ) -> None:
+        record = node.agent.table.get(peer.node_id)
+        if record is None:
+            return
+        advice: Advice = node.agent.hear_echo(
+            record, beat, ages, sent_at=sent_at, now=self.now
+        )
+        if advice.repair:
+            self.repair(node, peer.node_id)
+        if advice.pull:
+            self._pull(node, peer.node_id)
+
+    def _pull(self, node: VirtualNode, peer_id: NodeId) -> None:
+        def arrive(peer: VirtualNode) -> None:
+            have, theirs = node.agent.config.version, peer.agent.config.version
+            entries = tuple(self.store.entries[have:theirs])
+            self.send(
+                peer,
+                node.node_id,
+                lambda _: node.agent.receive(Batch(entries=entries), peer_id, self.now),
+            )
+
+        self.send(node, peer_id, arrive)
+
+    def _poll(self, node: VirtualNode, seeds: Sequence[NodeId]) -> None:
+        if not node.alive:
+            return
+        if not node.paused:
+            self._read_head(node)
+            at = node.agent.contacts.peer_at
+            if seeds and (at is None or self.now - at > 3.0):
+                self.repair(node, self.rng.choice(list(seeds)))
+        self.after(POLL_S, lambda: self._poll(node, seeds))
+
+    def _read_head(self, node: VirtualNode) -> None:
+        agent = node.agent
+        first = agent.table.overlay.first(node.domain, POLLERS)
+        if not self.store.up or node.node_id not in first:
+            return
+        agent.contacts.store_answered(self.now)
+        missing = tuple(self.store.entries[agent.config.version :])
+        agent.receive(Batch(entries=missing), None, self.now)
+
+    def _delay(self) -> float:
+        return self.delay_s * self.rng.uniform(0.5, 1.5)
