--- a/packages/endivebeam-node/src/endivebeam_node/_members.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_members.py
@@ -26,8 +26,15 @@
 class Members:
     """Member records, contact ages and what this node tells the fleet."""
 
-    def __init__(self, *, local: Member, config: ConfigCopy) -> None:
-        now = anyio.current_time()
+    def __init__(
+        self,
+        *,
+        local: Member,
+        config: ConfigCopy,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        now = clock()
+        self._clock = clock
         self._listeners: list[OnChange] = []
         self._config = config
         self.agent = Agent(
@@ -79,15 +86,15 @@
         Counted from before the heartbeat was sent. A contact of any node of
         the own domain counts, once a neighbor has told of it.
         """
-        return self.agent.contacts.domain_ages(anyio.current_time())
+        return self.agent.contacts.domain_ages(self._clock())
 
     def store_age(self) -> float | None:
         """Return the seconds since the store is known to have answered anyone."""
-        return self.agent.contacts.store_age(anyio.current_time())
+        return self.agent.contacts.store_age(self._clock())
 
     def store_answered(self) -> None:
         """Note an answer of the store to this node."""
-        self.agent.contacts.store_answered(anyio.current_time())
+        self.agent.contacts.store_answered(self._clock())
 
     def has_peer(self) -> bool:
         """Return whether a neighbor answered a heartbeat recently."""
@@ -114,7 +121,7 @@
     ) -> bool:
         """Change this node's own record and spread it; return whether it changed."""
         changed = self.agent.table.update_local(
-            now=anyio.current_time(),
+            now=self._clock(),
             state=state,
             service=service,
             slots=slots,
@@ -126,14 +133,14 @@
 
     def spread_entry(self, entry: LogEntry) -> None:
         """Apply a committed change and spread it."""
-        self.agent.receive(Batch(entries=(entry,)), None, anyio.current_time())
+        self.agent.receive(Batch(entries=(entry,)), None, self._clock())
 
     def spread_withdrawal(self, digest: KeyDigest) -> None:
         """Withdraw a key ahead of the log and spread the withdrawal."""
-        self.agent.receive(Batch(withdrawn=(digest,)), None, anyio.current_time())
+        self.agent.receive(Batch(withdrawn=(digest,)), None, self._clock())
 
     def _is_recent(self, at: float | None) -> bool:
-        return at is not None and anyio.current_time() - at <= ISOLATION_LIMIT_S
+        return at is not None and self._clock() - at <= ISOLATION_LIMIT_S
 
     def _tell(self, member: Member) -> None:
         for listener in self._listeners:
--- /dev/null
+++ b/packages/endivebeam-node/tests/test_config_sync.py
@@ -0,0 +1,277 @@
+"""Tests of pulling, polling and emergency withdrawals with an in-memory store."""
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import cast
+
+import anyio
+import pytest
+from returns.result import Failure, Result, Success
+
+from endivebeam_model import (
+    ConfigVersion,
+    KeyDigest,
+    LogEntry,
+    NodeId,
+)
+from endivebeam_node import _config_sync
+from endivebeam_node._config import ConfigCopy
+from endivebeam_node._config_sync import ConfigSync, snapshot_name
+from endivebeam_node._members import Members
+from endivebeam_standins import VirtualFleet, make_entry, make_member
+from endivebeam_store import (
+    CommitError,
+    Committed,
+    ConfigLog,
+    Conflict,
+    HttpObjects,
+    Row,
+    Transaction,
+    Unavailable,
+)
+from endivebeam_wire import AskEntries, AskSnapshot, PeerStream, Reply, Request
+
+KEY = KeyDigest("withdrawn-key")
+
+
+class FakeTable:
+    """Rows in memory; ``up`` switches the table off."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.up = True
+
+    async def read(self, key: str) -> Result[Row | None, Unavailable]:
+        if not self.up:
+            return Failure(Unavailable(message="down"))
+        return Success(self.rows.get(key))
+
+    async def scan(self, prefix: str, *, limit: int) -> Result[list[Row], Unavailable]:
+        return Success(
+            [r for k, r in sorted(self.rows.items()) if k.startswith(prefix)]
+        )
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, CommitError]:
+        if not self.up:
+            return Failure(Unavailable(message="down"))
+        versions = {key: row.version for key, row in self.rows.items()}
+        if any(versions.get(c.key, 0) != c.version for c in transaction.conditions):
+            return Failure(Conflict())
+        for put in transaction.puts:
+            self.rows[put.key] = Row(
+                key=put.key,
+                value=put.value,
+                version=versions.get(put.key, 0) + 1,
+                op_id=transaction.op_id,
+            )
+        return Success(Committed(op_id=transaction.op_id))
+
+
+class FakeObjects:
+    """Objects in memory."""
+
+    def __init__(self) -> None:
+        self.contents: dict[str, bytes] = {}
+
+    async def read(self, name: str) -> Result[bytes | None, Unavailable]:
+        return Success(self.contents.get(name))
+
+    async def write(self, name: str, content: bytes) -> Result[None, Unavailable]:
+        self.contents[name] = content
+        return Success(None)
+
+
+class Node:
+    """One node's configuration on a clock that the test sets."""
+
+    def __init__(
+        self,
+        table: FakeTable,
+        objects: FakeObjects | None = None,
+        node_id: str = "n0",
+    ) -> None:
+        self.now = 0.0
+        self.objects = objects or FakeObjects()
+        self.config = ConfigCopy()
+        self.members = Members(
+            local=make_member(node_id, "d0"),
+            config=self.config,
+            clock=lambda: self.now,
+        )
+        self.log = ConfigLog(table=table)
+        self.sync = ConfigSync(
+            members=self.members,
+            config=self.config,
+            log=self.log,
+            objects=cast(HttpObjects, self.objects),
+        )
+
+    def commit(self, count: int) -> list[LogEntry]:
+        start = self.config.version
+        entries = [
+            make_entry(start + i, f"op-{start + i}", i) for i in range(1, count + 1)
+        ]
+        self.config.apply(entries)
+        return entries
+
+
+class Link:
+    """A stream whose other end is another node's ``ConfigSync``."""
+
+    def __init__(self, peer: Node, before_ask: Callable[[], None] = list) -> None:
+        self._peer = peer
+        self._before_ask = before_ask
+        self.remote = None
+
+    def next_id(self) -> int:
+        return 1
+
+    async def ask(self, request: Request) -> Reply:
+        self._before_ask()
+        match request:
+            case AskEntries():
+                return self._peer.sync.answer_entries(request)
+            case AskSnapshot():
+                return self._peer.sync.answer_snapshot(request)
+        raise AssertionError(request)
+
+
+def run(step: Callable[[], Awaitable[None]]) -> None:
+    anyio.run(step)
+
+
+def pull(node: Node, link: Link) -> None:
+    run(partial(node.sync.pull, cast(PeerStream, link)))
+
+
+class TestPull:
+    @pytest.mark.parametrize("count", [10, 300, 1400])
+    def test_gets_everything_from_a_peer(self, count: int):
+        """Guards against a joining node that stays behind while the store is down."""
+        peer, joining = Node(FakeTable()), Node(FakeTable(), node_id="n1")
+        peer.commit(count)
+        peer.members.spread_withdrawal(KEY)
+        pull(joining, Link(peer))
+        assert joining.config.snapshot == peer.config.snapshot
+
+    def test_snapshot_that_changes_between_pieces(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against a snapshot put together from two versions."""
+        monkeypatch.setattr(_config_sync, "PIECE_BYTES", 64)
+        peer, joining = Node(FakeTable()), Node(FakeTable(), node_id="n1")
+        peer.commit(1400)
+        asks = iter(range(100))
+
+        def change_twice() -> None:
+            if next(asks) in (2, 3):
+                peer.commit(1)
+
+        pull(joining, Link(peer, change_twice))
+        assert joining.config.snapshot == peer.config.snapshot
+
+    def test_older_snapshot_is_refused(self):
+        """Guards against a stale peer or object that reverts the configuration."""
+        node, stale = Node(FakeTable()), Node(FakeTable(), node_id="n1")
+        node.commit(5)
+        stale.commit(3)
+        before = node.config.snapshot
+        assert not node.config.install(stale.config.snapshot)
+        pull(node, Link(stale))
+        assert node.config.snapshot == before
+
+    def test_joining_node_learns_with_the_store_down(self):
+        """Guards against a node that can join only through the store."""
+        fleet = VirtualFleet(seed=1, make_config=ConfigCopy)
+        members = [make_member(f"n{i}", "d0") for i in range(5)]
+        for member in members:
+            fleet.start(member.node_id, member.domain, known=members)
+        fleet.store.entries = [make_entry(v, f"op-{v}", v) for v in range(1, 9)]
+        fleet.run(3.0)
+        fleet.store.up = False
+        joined = fleet.start("n9", "d0", seeds=[NodeId("n1")])
+        assert fleet.run_until(lambda: joined.agent.config.version == 8, 5.0) <= 5.0
+
+
+class TestPoll:
+    def test_reads_up_to_the_head(self):
+        """Guards against a change whose node died right after the commit."""
+        table = FakeTable()
+        author, node = Node(table), Node(table, node_id="n1")
+        run(partial(self.append, author, 3))
+        run(node.sync._poll)
+        assert node.config.version == 3
+        assert node.sync.synced
+
+    def test_starts_from_a_stored_snapshot(self):
+        """Guards against a node that reads thousands of rows to catch up."""
+        table, objects = FakeTable(), FakeObjects()
+        author = Node(table, objects)
+        run(partial(self.append, author, 620))
+        run(author.sync._poll)
+        assert list(objects.contents) == [snapshot_name(1)]
+        for version in range(1, 500):
+            del table.rows[f"config/log/{version:012d}"]
+        node = Node(table, objects, node_id="n1")
+        run(node.sync._poll)
+        assert node.config.snapshot == author.config.snapshot
+
+    def test_emergency_withdrawal_reaches_the_log_once_it_can(self):
+        """Guards against a withdrawal that is lost when all nodes restart."""
+        table = FakeTable()
+        first, second = Node(table), Node(table, node_id="n1")
+        table.up = False
+        for node in (first, second):
+            node.members.spread_withdrawal(KEY)
+            run(node.sync._poll)
+            assert node.config.withdrawn == {KEY}
+        table.up = True
+        for node in (first, second, first):
+            run(node.sync._poll)
+        fresh = Node(table, node_id="n2")
+        run(fresh.sync._poll)
+        for node in (first, second, fresh):
+            assert node.config.snapshot.keys[KEY].withdrawn
+            assert node.config.withdrawn == frozenset()
+
+    @staticmethod
+    async def append(node: Node, count: int) -> None:
+        for version in range(node.config.version, node.config.version + count):
+            entry = make_entry(version + 1, f"op-{version}", 1.0)
+            appended = await node.log.append(
+                change=entry.change,
+                expected=ConfigVersion(version),
+                op_id=entry.op_id,
+                operator=entry.operator,
+                at="",
+            )
+            node.config.apply([appended.unwrap()])
+
+
+class TestIsolation:
+    def test_neither_peer_nor_store(self):
+        """Guards against a cut-off node that accepts withdrawn keys."""
+        node = Node(FakeTable())
+        assert node.members.is_isolated()
+        node.members.store_answered()
+        assert not node.members.is_isolated()
+        node.now = 3.1
+        assert node.members.is_isolated()
+
+    def test_contact_with_a_peer_is_enough(self):
+        """Guards against refused keys while only the store is down."""
+        node = Node(FakeTable())
+        peer = make_member("n1", "d0")
+        agent = node.members.agent
+        agent.receive(_config_sync.Batch(members=(peer,)), None, 0.0)
+        agent.contacts.answered(peer.domain, 1.0)
+        node.now = 3.9
+        assert not node.members.is_isolated()
+        node.now = 4.1
+        assert node.members.is_isolated()
+
+    def test_a_fleet_of_one_counts_only_the_store(self):
+        """Guards against contact with a node that has left long ago."""
+        node = Node(FakeTable())
+        node.members.agent.contacts.answered(make_member("n1", "d0").domain, 0.0)
+        assert node.members.is_isolated()
--- a/packages/endivebeam-standins/src/endivebeam_standins/__init__.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/__init__.py
@@ -3,7 +3,13 @@
 from ._fleet import Fleet, FleetNode, run_fleet, wait_for
 from ._platform import PlatformState, build_platform_app
 from ._virtual import VirtualFleet
-from ._virtual_state import VirtualConfig, VirtualNode, VirtualStore, make_member
+from ._virtual_state import (
+    VirtualConfig,
+    VirtualNode,
+    VirtualStore,
+    make_entry,
+    make_member,
+)
 
 __all__ = [
     "Fleet",
@@ -14,6 +20,7 @@
     "VirtualNode",
     "VirtualStore",
     "build_platform_app",
+    "make_entry",
     "make_member",
     "run_fleet",
     "wait_for",
--- a/packages/endivebeam-standins/src/endivebeam_standins/_virtual_state.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_virtual_state.py
@@ -7,14 +7,18 @@
 
 from endivebeam_membership import Agent
 from endivebeam_model import (
+    AccountId,
     Address,
     ConfigVersion,
+    Contract,
     DomainName,
     KeyDigest,
     LogEntry,
     Member,
     MemberState,
     NodeId,
+    OperationId,
+    PutContract,
     RegionName,
     ServiceName,
     Snapshot,
@@ -109,3 +113,15 @@
         slots=50,
         state=MemberState.SERVING,
     )
+
+
+def make_entry(version: int, op_id: str, rate: float) -> LogEntry:
+    """Return a log entry that writes one contract."""
+    contract = Contract(account=AccountId("a"), rate_per_s=rate, burst=rate)
+    return LogEntry(
+        version=ConfigVersion(version),
+        op_id=OperationId(op_id),
+        operator="test",
+        at="",
+        change=PutContract(contract=contract),
+    )
