--- a/packages/endivebeam-routing/src/endivebeam_routing/_health.py
+++ b/packages/endivebeam-routing/src/endivebeam_routing/_health.py
@@ -164,8 +164,10 @@
             if slower > 2.0:
                 healthy /= slower
         idle_s = max(0.0, now - self._sampled_at)
-        lost = (1.0 - max(TRUST_FLOOR, healthy)) * math.exp(-idle_s / TRUST_RECOVERY_S)
-        return 1.0 - lost
+        # Linear, because it has to reach 1: among idle targets any difference
+        # decides, and a target that is never chosen could not prove itself.
+        remaining = max(0.0, 1.0 - idle_s / TRUST_RECOVERY_S)
+        return 1.0 - (1.0 - max(TRUST_FLOOR, healthy)) * remaining
 
     def _sample(self, value: float, now: float) -> None:
         self._trust += TRUST_WEIGHT * (value - self._trust)
