--- a/packages/endivebeam-standins/src/endivebeam_standins/_virtual.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_virtual.py
@@ -23,6 +23,7 @@
     find_differences,
 )
 from endivebeam_model import Member, MemberState, NodeId
+from endivebeam_wire import Heartbeat, HeartbeatEcho, Rumor, encode_frame
 
 from ._virtual_state import VirtualConfig, VirtualNode, VirtualStore, make_member
 
@@ -137,7 +138,13 @@
         if not len(batch):
             return
         node.sending.add(peer_id)
-        node.bytes_sent += len(_encode(batch))
+        rumor = Rumor(
+            request_id=1,
+            members=batch.members,
+            entries=batch.entries,
+            withdrawn=batch.withdrawn,
+        )
+        node.bytes_sent += len(encode_frame(rumor))
 
         def arrive(peer: VirtualNode) -> None:
             peer.agent.receive(batch, node.node_id, self.now)
@@ -227,12 +234,19 @@
 
     def _beat(self, node: VirtualNode, peer_id: NodeId) -> None:
         sent_at = self.now
-        node.bytes_sent += len(_encode(node.agent.beat())) + 8
+        sent = node.agent.beat()
+        node.bytes_sent += len(
+            encode_frame(
+                Heartbeat(
+                    request_id=1, config_version=sent.version, member_digest=sent.digest
+                )
+            )
+        )
 
         def arrive(peer: VirtualNode) -> None:
             self._tell_dead(peer, node)
             beat, ages = peer.agent.beat(), peer.agent.ages(self.now)
-            peer.bytes_sent += len(_encode((beat, ages))) + 8
+            peer.bytes_sent += len(encode_frame(_to_echo(beat, ages)))
             self.send(
                 peer,
                 node.node_id,
@@ -303,3 +317,15 @@
 
     def _delay(self) -> float:
         return self.delay_s * self.rng.uniform(0.5, 1.5)
+
+
+def _to_echo(beat: Beat, ages: Ages) -> HeartbeatEcho:
+    return HeartbeatEcho(
+        request_id=1,
+        config_version=beat.version,
+        member_digest=beat.digest,
+        store_age_ms=-1 if ages.store is None else round(ages.store * 1000),
+        domain_ages_ms={
+            name: round(age_s * 1000) for name, age_s in ages.domains.items()
+        },
+    )
