--- a/packages/endivebeam-model/src/endivebeam_model/__init__.py
+++ b/packages/endivebeam-model/src/endivebeam_model/__init__.py
@@ -59,7 +59,7 @@
 )
 from ._loading import Loaded, check_data, load_model, suggest
 from ._lookup import authenticate, digest_key, find_route
-from ._members import Address, Member
+from ._members import Address, AgedMember, Member
 from ._refusals import Refusal
 from ._schema import build_schema, dump_schema
 from ._states import (
@@ -79,6 +79,7 @@
     "MAX_TIMEOUT_MS",
     "AccountId",
     "Address",
+    "AgedMember",
     "ChainId",
     "Change",
     "ConfigVersion",
--- a/packages/endivebeam-node/src/endivebeam_node/__init__.py
+++ b/packages/endivebeam-node/src/endivebeam_node/__init__.py
@@ -4,7 +4,6 @@
     Contacts,
 )
 from ._daemon import (
-    Ports,
     run_daemon,
 )
 from ._fleet_view import (
@@ -16,6 +15,7 @@
 from ._leases import (
     LeaseKeeper,
 )
+from ._listening import Ports
 from ._main import (
     main,
 )
--- a/packages/endivebeam-node/src/endivebeam_node/_calls.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_calls.py
@@ -21,7 +21,7 @@
     StreamLostError,
 )
 
-from ._outcomes import NO_LOAD, RETRY_AFTER_S, refuse
+from ._outcomes import NO_LOAD, RETRY_AFTER_S, observe_outcome, refuse
 from ._peers import Peers, UnreachableError
 from ._ports import (
     Admit,
@@ -146,16 +146,17 @@
 
     async def _attempt(self, member: Member, call: CallRequest) -> Outcome:
         started = time.monotonic()
-        if member.node_id == self._local:
-            outcome = await self.serve(call)
-        else:
-            outcome = await self._ask_peer(member, call)
-        latency_s = time.monotonic() - started
-        if isinstance(outcome, CallAnswer):
-            self._observe(
-                member.node_id, Observation(latency_s=latency_s, load=outcome.load)
-            )
-        return outcome
+        observation = Observation()
+        try:
+            if member.node_id == self._local:
+                outcome = await self.serve(call)
+            else:
+                outcome = await self._ask_peer(member, call)
+            observation = observe_outcome(outcome, time.monotonic() - started)
+            return outcome
+        finally:
+            # Also when the caller is gone, so that the call is not counted forever.
+            self._observe(member.node_id, observation)
 
     async def _ask_peer(self, member: Member, call: CallRequest) -> Outcome:
         try:
--- a/packages/endivebeam-node/tests/test_admin.py
+++ b/packages/endivebeam-node/tests/test_admin.py
@@ -93,7 +93,11 @@
         self.config = ConfigCopy()
         self.versions = HeardVersions()
         self.drains = 0
-        self.members = Members(local=make_member("node-1", "domain-a"))
+        self.members = Members(
+            local=make_member("node-1", "domain-a"),
+            config=self.config,
+            clock=lambda: 0.0,
+        )
         self.log = ConfigLog(table=table)
 
         async def withdraw(change: WithdrawKey) -> None:
--- a/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
@@ -1,42 +1,56 @@
 """Typed peer messages, their frames and the streams that carry them."""
 
-from ._codec import (
-    FrameError,
-    FrameReader,
-    encode_frame,
-)
-from ._messages import (
+from ._base import (
     MAX_BODY_BYTES,
     MAX_FRAME_BYTES,
     PROTOCOL_VERSION,
-    AskEntries,
-    AskGrant,
+    Header,
+)
+from ._call_messages import (
     AskOutcome,
-    BucketLevel,
     CallAnswer,
     CallRefused,
     CallRequest,
     CancelCall,
+    LoadReport,
+    Outcome,
+    OutcomeState,
+)
+from ._codec import (
+    FrameError,
+    FrameReader,
+    encode_frame,
+)
+from ._fleet_messages import (
+    AskEntries,
+    AskSnapshot,
+    DigestReply,
+    DigestRequest,
     Entries,
-    Grant,
-    GrantReport,
-    HandOverShare,
-    Header,
+    ExchangeLeaves,
     Heartbeat,
     HeartbeatEcho,
     Hello,
-    LoadReport,
-    MemberList,
+    LeafRecords,
+    Rumor,
+    RumorAck,
+    SnapshotPiece,
+)
+from ._messages import (
     Message,
-    Outcome,
-    OutcomeState,
+    Reply,
+    Request,
+)
+from ._rate_messages import (
+    AskGrant,
+    BucketLevel,
+    Grant,
+    GrantReport,
+    HandOverShare,
     RelayedRow,
     RelayResult,
     RelayStore,
-    Reply,
-    Request,
     ShareTaken,
-    SyncMembers,
 )
 from ._streams import (
     Answer,
@@ -53,12 +67,16 @@
     "AskEntries",
     "AskGrant",
     "AskOutcome",
+    "AskSnapshot",
     "BucketLevel",
     "CallAnswer",
     "CallRefused",
     "CallRequest",
     "CancelCall",
+    "DigestReply",
+    "DigestRequest",
     "Entries",
+    "ExchangeLeaves",
     "FrameError",
     "FrameReader",
     "Grant",
@@ -68,8 +86,8 @@
     "Heartbeat",
     "HeartbeatEcho",
     "Hello",
+    "LeafRecords",
     "LoadReport",
-    "MemberList",
     "Message",
     "Outcome",
     "OutcomeState",
@@ -79,9 +97,11 @@
     "RelayedRow",
     "Reply",
     "Request",
+    "Rumor",
+    "RumorAck",
     "ShareTaken",
+    "SnapshotPiece",
     "StreamFullError",
     "StreamLostError",
-    "SyncMembers",
     "encode_frame",
 ]
--- a/packages/endivebeam-wire/src/endivebeam_wire/_codec.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_codec.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from ._messages import MAX_FRAME_BYTES, Message
+from ._base import MAX_FRAME_BYTES
+from ._messages import Message
 
 _LENGTH = struct.Struct(">I")
 LENGTH_BYTES = _LENGTH.size
--- a/packages/endivebeam-wire/src/endivebeam_wire/_streams.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_streams.py
@@ -7,14 +7,10 @@
 import anyio
 import anyio.abc
 
+from ._call_messages import CancelCall
 from ._codec import FrameError, FrameReader, encode_frame
-from ._messages import (
-    CancelCall,
-    Hello,
-    Message,
-    Reply,
-    Request,
-)
+from ._fleet_messages import Hello
+from ._messages import Message, Reply, Request
 
 RECEIVE_BYTES = 65536
 HELLO_TIMEOUT_S = 2.0
@@ -96,6 +92,11 @@
                 return first
         raise StreamLostError("peer did not greet in time")
 
+    @property
+    def waits(self) -> bool:
+        """Whether a request waits for its reply."""
+        return bool(self._waiters)
+
     def next_id(self) -> int:
         """Return a request id that was never used on this stream."""
         return next(self._ids)
