Keep nested waiting out of the concurrency limit; add the overload experiment

Change: latency without nested calls, two high windows before a cut, baseline with the concurrency it was seen at, slot hold time for the expected wait.

--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,300 @@
+"""Goodput, recovery and fairness under overload: ``--seed 1 --runs 3``.
+
+Each scenario runs in virtual time with no control, with a fixed limit and a
+first-in-first-out queue, and with the admission of the node. Goodput is a ratio
+to the capacity or to the demand, whichever is smaller. Prints the mean and the
+worst run.
+"""
+
+import argparse
+import statistics
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from endivebeam_model import Criticality
+
+from .overload_model import (
+    AdaptiveGate,
+    Control,
+    Deployment,
+    FifoGate,
+    Load,
+    Model,
+    Request,
+    Tier,
+)
+
+WARM_S = 3.0
+CAUSE_S = 6.0
+SLOW_CAUSE_S = 20.0
+AFTER_S = 5.0
+# Requests that arrive this shortly before a phase ends are answered in the next.
+SETTLE_S = 1.0
+BASE_DEMAND = 0.9
+SLOW_FACTOR = 10.0
+SURGE_FACTOR = 5.0
+RECOVERED = 0.95
+BUCKET_S = 0.1
+WINDOW_BUCKETS = 10
+
+THISTLEGATE = Deployment(
+    name="thistlegate",
+    tiers=(
+        Tier(targets=3, slots=55, work_s=0.005),
+        Tier(targets=4, slots=55, work_s=0.005),
+        Tier(targets=3, slots=25, work_s=0.06),
+    ),
+)
+OPRAVNA = Deployment(
+    name="opravna",
+    tiers=(
+        Tier(targets=3, slots=80, work_s=0.005),
+        Tier(targets=3, slots=80, work_s=0.005),
+        Tier(targets=3, slots=20, work_s=0.06),
+    ),
+)
+DEPLOYMENTS = (THISTLEGATE, OPRAVNA)
+
+NO_CONTROL = Control(
+    name="none",
+    make_gate=lambda slots: FifoGate(slots, float("inf")),
+    cancels=False,
+    bounded_retries=False,
+)
+FIXED = Control(
+    name="fixed",
+    make_gate=lambda slots: FifoGate(slots, 4 * slots),
+    cancels=False,
+    bounded_retries=False,
+)
+ADAPTIVE = Control(
+    name="endivebeam", make_gate=AdaptiveGate, cancels=True, bounded_retries=True
+)
+CONTROLS = (NO_CONTROL, FIXED, ADAPTIVE)
+
+
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """Results of one run; ratios except ``recovery_s``."""
+
+    goodput: float
+    worst: float
+    critical: float
+    after: float = 0.0
+    recovery_s: float = 0.0
+    wrongful: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Scenario:
+    """One cause of overload: demand per account in parts of its contract rate."""
+
+    name: str
+    factors: Callable[[int], float]
+    cause_s: float = CAUSE_S
+    slow: float = 1.0
+    retries: bool = False
+    real_slots: float = 1.0
+
+
+SCENARIOS = (
+    Scenario(name="1x", factors=lambda account: 1.0),
+    Scenario(name="2x", factors=lambda account: 2.0),
+    Scenario(name="10x", factors=lambda account: 10.0),
+    Scenario(name="2x, clients retry", factors=lambda account: 2.0, retries=True),
+    Scenario(
+        name="deep service 10x slower",
+        factors=lambda account: BASE_DEMAND,
+        cause_s=SLOW_CAUSE_S,
+        slow=SLOW_FACTOR,
+        retries=True,
+    ),
+    Scenario(
+        name="one account at 5x",
+        factors=lambda account: SURGE_FACTOR if account == 1 else BASE_DEMAND,
+    ),
+    Scenario(
+        name="2x, half the slots real", factors=lambda account: 2.0, real_slots=0.5
+    ),
+)
+
+
+def run_scenario(
+    scenario: Scenario, deployment: Deployment, control: Control, seed: int
+) -> Figures:
+    """Run one scenario once."""
+    capacity = deployment.capacity * scenario.real_slots
+    contracts = [capacity * weight for weight in deployment.weights]
+    calm = [BASE_DEMAND * contract for contract in contracts]
+    stressed = [scenario.factors(i) * c for i, c in enumerate(contracts)]
+    end = WARM_S + scenario.cause_s
+
+    def in_cause(now: float) -> bool:
+        return WARM_S <= now < end
+
+    load = Load(
+        rates=lambda now: stressed if in_cause(now) else calm,
+        slowdown=lambda now: scenario.slow if in_cause(now) else 1.0,
+        retries=scenario.retries,
+        real_slots=scenario.real_slots,
+    )
+    model = Model(deployment=deployment, control=control, load=load, seed=seed)
+    requests = model.run(end + AFTER_S + SETTLE_S)
+    during = measure_cause(requests, end, capacity / scenario.slow, contracts)
+    calm_requests = [r for r in requests if end <= r.arrived < end + AFTER_S]
+    return msgspec.structs.replace(
+        during,
+        after=answered(calm_requests),
+        recovery_s=find_recovery(requests, end, capacity),
+        wrongful=sum(r.refused_idle for r in requests) / len(requests),
+    )
+
+
+def measure_cause(
+    requests: list[Request], end: float, capacity: float, contracts: list[float]
+) -> Figures:
+    """Return the figures of the time during which the cause lasts."""
+    begin = WARM_S + SETTLE_S
+    seconds = end - begin
+    stressed = [r for r in requests if begin <= r.arrived < end]
+    critical = [r for r in stressed if r.criticality is Criticality.CRITICAL]
+    served = [0] * len(contracts)
+    for request in requests:
+        if request.answered_at and begin <= request.answered_at < end:
+            served[request.account] += 1
+    offered = {c: [0.0] * len(contracts) for c in Criticality}
+    for request in stressed:
+        offered[request.criticality][request.account] += 1 / seconds
+    shares = share_by_class(offered, contracts, capacity)
+    demand = sum(sum(demands) for demands in offered.values())
+    return Figures(
+        goodput=sum(served) / (seconds * min(capacity, demand)),
+        worst=min(
+            count / (seconds * share)
+            for count, share in zip(served, shares, strict=True)
+        ),
+        critical=answered(critical),
+    )
+
+
+def answered(requests: list[Request]) -> float:
+    """Return the part of the requests that were answered."""
+    return sum(r.answered_at is not None for r in requests) / len(requests)
+
+
+def find_recovery(requests: list[Request], end: float, capacity: float) -> float:
+    """Return when goodput was back for good, in seconds after the cause ended.
+
+    From that time on, in every window, the answers reach 95% of the requests
+    that arrive or of the capacity, or 95% of the requests that arrive are
+    answered on their first attempt.
+    """
+    count = round(AFTER_S / BUCKET_S)
+    arrived = [0] * count
+    answers = [0] * count
+    first = [0] * count
+    for request in requests:
+        answered_at = request.answered_at
+        if end <= request.arrived < end + AFTER_S:
+            bucket = int((request.arrived - end) / BUCKET_S)
+            arrived[bucket] += 1
+            first[bucket] += answered_at is not None and request.attempts == 1
+        if answered_at is not None and end <= answered_at < end + AFTER_S:
+            answers[int((answered_at - end) / BUCKET_S)] += 1
+    for index in reversed(range(count - WINDOW_BUCKETS + 1)):
+        window = slice(index, index + WINDOW_BUCKETS)
+        offered = sum(arrived[window])
+        needed = min(offered, capacity * WINDOW_BUCKETS * BUCKET_S)
+        served = sum(answers[window]) >= RECOVERED * needed
+        if not served and sum(first[window]) < RECOVERED * offered:
+            return (index + WINDOW_BUCKETS) * BUCKET_S
+    return 0.0
+
+
+def share_by_class(
+    offered: dict[Criticality, list[float]], weights: list[float], capacity: float
+) -> list[float]:
+    """Return the fair shares of the accounts: a class gets what those above leave."""
+    totals = [0.0] * len(weights)
+    for criticality in (
+        Criticality.CRITICAL,
+        Criticality.NORMAL,
+        Criticality.SHEDDABLE,
+    ):
+        shares = fair_shares(offered[criticality], weights, capacity)
+        totals = [t + s for t, s in zip(totals, shares, strict=True)]
+        capacity = max(0.0, capacity - sum(shares))
+    return totals
+
+
+def fair_shares(
+    demands: list[float], weights: list[float], capacity: float
+) -> list[float]:
+    """Return the weighted max-min fair shares of the accounts."""
+    shares = [0.0] * len(demands)
+    hungry = set(range(len(demands)))
+    left = capacity
+    while hungry:
+        unit = left / sum(weights[i] for i in hungry)
+        content = {i for i in hungry if demands[i] <= unit * weights[i]}
+        for i in content or hungry:
+            shares[i] = demands[i] if content else unit * weights[i]
+            left -= shares[i]
+        hungry = hungry - content if content else set()
+    return shares
+
+
+def print_row(label: str, control: str, runs: list[Figures]) -> None:
+    """Print the mean and the worst run of one scenario."""
+
+    def show(values: list[float], worst: float) -> str:
+        return f"{statistics.mean(values):7.3f} ({worst:6.3f})"
+
+    goodputs = [r.goodput for r in runs]
+    afters = [r.after for r in runs]
+    recoveries = [r.recovery_s for r in runs]
+    worsts = [r.worst for r in runs]
+    criticals = [r.critical for r in runs]
+    wrongful = [r.wrongful for r in runs]
+    cells = [
+        show(goodputs, min(goodputs)),
+        show(afters, min(afters)),
+        show(recoveries, max(recoveries)),
+        show(worsts, min(worsts)),
+        show(criticals, min(criticals)),
+        show(wrongful, max(wrongful)),
+    ]
+    print(f"{label:25} {control:10} " + " ".join(cells), flush=True)
+
+
+def main() -> None:
+    """Run all scenarios and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=3)
+    parser.add_argument("--only", default="", help="part of a control's name")
+    parser.add_argument("--deployment", default="", help="part of its name")
+    parser.add_argument("--scenario", default="", help="part of a scenario's name")
+    options = parser.parse_args()
+    names = ("goodput", "after", "recovery s", "worst account", "critical", "wrongful")
+    for deployment in DEPLOYMENTS:
+        if options.deployment not in deployment.name:
+            continue
+        print(f"{deployment.name}: mean (worst of {options.runs})")
+        print(f"{'scenario':25} {'control':10} " + " ".join(f"{n:>16}" for n in names))
+        for scenario in SCENARIOS:
+            if options.scenario not in scenario.name:
+                continue
+            for control in CONTROLS:
+                if options.only not in control.name:
+                    continue
+                runs = [
+                    run_scenario(scenario, deployment, control, options.seed + i)
+                    for i in range(options.runs)
+                ]
+                print_row(scenario.name, control.name, runs)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/endivebeam-limits/src/endivebeam_limits/_admission.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_admission.py
@@ -9,8 +9,9 @@
 QUEUE_PER_SLOT = 2
 MIN_QUEUE = 16
 MAX_QUEUE = 1024
-# Part of the usual service time that must be left when a call is started.
+# Part of the mean service time that must be left when a call is started.
 LEAST_TIME_FRACTION = 0.5
+HOLD_WEIGHT = 0.05
 
 
 @dataclass(slots=True)
@@ -32,6 +33,8 @@
         self.limit = ConcurrencyLimit()
         self.queue = FairQueue()
         self.in_use = 0
+        # Mean time that a call holds its slot, nested calls included.
+        self._hold_s: float | None = None
 
     @property
     def queue_bound(self) -> int:
@@ -76,18 +79,23 @@
         if state is not TicketState.RUNNING:
             return Changes()
         self.in_use -= 1
+        self._note_hold(now - ticket.started)
         return self._fill(now, Changes())
 
     def expected_wait_s(self, ticket: Ticket) -> float:
         """Estimate how long an arriving call would wait; 0 when unknown."""
-        latency_s = self.limit.latency_s
-        if latency_s is None:
+        if self._hold_s is None:
             return 0.0
         ahead = self.queue.count_ahead(ticket)
-        return (ahead + 1.0) * latency_s / self.limit.limit
+        return (ahead + 1.0) * self._hold_s / self.limit.limit
+
+    def _note_hold(self, hold_s: float) -> None:
+        if self._hold_s is None:
+            self._hold_s = hold_s
+        self._hold_s += HOLD_WEIGHT * (hold_s - self._hold_s)
 
     def _least_time_s(self) -> float:
-        return LEAST_TIME_FRACTION * (self.limit.baseline_s or 0.0)
+        return LEAST_TIME_FRACTION * (self._hold_s or 0.0)
 
     def _start(self, ticket: Ticket, now: float, changes: Changes) -> None:
         ticket.state = TicketState.RUNNING
--- a/packages/endivebeam-limits/src/endivebeam_limits/_concurrency.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_concurrency.py
@@ -13,9 +13,18 @@
 WINDOW_S = 0.1
 MIN_SAMPLES = 10
 IN_USE_FRACTION = 0.9
-TOLERATED_RATIO = 2.0
+TOLERATED_RATIO = 1.5
+# Latency that grows faster than this power of the calls in use has another cause.
+STEEPEST_POWER = 3.0
 CUT_FACTOR = 0.8
 GROWTH_FACTOR = 1.2
+SETTLE_LATENCIES = 3.0
+# One high window may be chance; the next one must confirm it.
+HIGH_WINDOWS = 2
+# Near the limit of the latest useful cut the limit grows in small steps.
+CEILING_S = 10.0
+CAREFUL_FRACTION = 0.8
+CAREFUL_STEP = 0.5
 BASELINE_WEIGHT = 0.2
 # A cut counts as useful when the latency fell by half of the cut or more.
 USEFUL_FRACTION = 0.5
@@ -47,6 +56,10 @@
         self._total_s = 0.0
         self._samples = 0
         self._peak = 0
+        self._high_windows = 0
+        self._ceiling = 0.0
+        self._ceiling_until = 0.0
+        self._baseline_use = 1.0
 
     @property
     def limit(self) -> int:
@@ -60,6 +73,7 @@
         self.latency_s = None
         self.baseline_s = None
         self._cut = None
+        self._ceiling_until = now
         self._open_window(now)
 
     def resize(self, slots: int) -> None:
@@ -72,20 +86,27 @@
         """Note how many calls run after one was started."""
         self._peak = max(self._peak, in_use)
 
-    def observe(self, started: float, now: float) -> None:
-        """Record a call that ended, and adjust the limit at the end of a window."""
+    def observe(self, started: float, now: float, nested_s: float = 0.0) -> None:
+        """Record a call that was answered; adjust the limit at the end of a window.
+
+        ``nested_s`` is the part of the time that the target spent waiting for
+        its nested calls. It is left out, because fewer calls at this target do
+        not make another service faster.
+        """
         if self._cut is not None and started < self._cut.at:
             return
-        self._total_s += now - started
+        self._total_s += max(0.0, now - started - nested_s)
         self._samples += 1
         if self._window_complete(now):
             self._adjust(self._total_s / self._samples, now)
             self._open_window(now)
 
-    def observe_abandoned(self, started: float, now: float) -> None:
+    def observe_abandoned(
+        self, started: float, now: float, nested_s: float = 0.0
+    ) -> None:
         """Record a call that was cancelled; its latency is only a lower bound."""
-        if self.latency_s is None or now - started > self.latency_s:
-            self.observe(started, now)
+        if self.latency_s is None or now - started - nested_s > self.latency_s:
+            self.observe(started, now, nested_s)
 
     def observe_shed(self, in_use: int, now: float) -> None:
         """Lower the limit after the target itself refused a call as too many."""
@@ -94,12 +115,14 @@
         self._open_window(now)
 
     def _window_complete(self, now: float) -> bool:
-        # Just after a cut only the shortest calls have ended, so their mean
-        # would look better than it is.
-        wait_s = WINDOW_S
-        if self._cut is not None:
-            wait_s = max(WINDOW_S, 2 * self._cut.latency_s)
-        return self._samples >= MIN_SAMPLES and now - self._opened_at >= wait_s
+        elapsed_s = now - self._opened_at
+        if self._samples < max(MIN_SAMPLES, self.limit) or elapsed_s < WINDOW_S:
+            return False
+        if self.latency_s is not None and self._cut is None:
+            return True
+        # Only calls started in this window count, so the shortest end first and
+        # their mean is too low until some latencies have passed.
+        return elapsed_s >= SETTLE_LATENCIES * self._total_s / self._samples
 
     def _open_window(self, now: float) -> None:
         self._opened_at = now
@@ -110,22 +133,62 @@
     def _adjust(self, latency_s: float, now: float) -> None:
         self.latency_s = latency_s
         if self.baseline_s is None:
-            self.baseline_s = latency_s
+            self._adopt(latency_s)
         cut, self._cut = self._cut, None
         if cut is not None and not self._was_useful(cut, latency_s):
             self._limit = min(cut.limit, self.slots)
-            self.baseline_s = max(self.baseline_s, latency_s)
+            self._ceiling_until = now
+            self._adopt(latency_s)
             return
         in_use = self._peak >= IN_USE_FRACTION * self.limit
-        if latency_s < self.baseline_s or not in_use:
-            self.baseline_s += BASELINE_WEIGHT * (latency_s - self.baseline_s)
-        if not in_use:
+        if latency_s < self._baseline_s or not in_use:
+            self._follow(latency_s)
+        if latency_s <= TOLERATED_RATIO * self._baseline_s:
+            self._high_windows = 0
+            if in_use:
+                self._grow(now)
+        elif in_use:
+            self._judge(latency_s, now)
+
+    def _judge(self, latency_s: float, now: float) -> None:
+        """Cut the limit if it may be the cause of a latency that stays high."""
+        self._high_windows += 1
+        if self._high_windows < HIGH_WINDOWS:
+            return
+        self._high_windows = 0
+        if not self._may_be_own(latency_s / self._baseline_s):
+            self._adopt(latency_s)
             return
-        if latency_s > TOLERATED_RATIO * self.baseline_s:
-            self._cut = _Cut(self._limit, latency_s, now)
-            self._limit = max(1.0, self._limit * CUT_FACTOR)
-        else:
-            self._limit = min(float(self.slots), self._limit * GROWTH_FACTOR + 1.0)
+        self._cut = _Cut(self._limit, latency_s, now)
+        self._ceiling = self._limit
+        self._ceiling_until = now + CEILING_S
+        self._limit = max(1.0, self._limit * CUT_FACTOR)
+
+    @property
+    def _baseline_s(self) -> float:
+        assert self.baseline_s is not None
+        return self.baseline_s
+
+    def _adopt(self, latency_s: float) -> None:
+        self.baseline_s = latency_s
+        self._baseline_use = float(self._peak)
+
+    def _follow(self, latency_s: float) -> None:
+        self.baseline_s = self._baseline_s
+        self.baseline_s += BASELINE_WEIGHT * (latency_s - self.baseline_s)
+        self._baseline_use += BASELINE_WEIGHT * (self._peak - self._baseline_use)
+
+    def _grow(self, now: float) -> None:
+        grown = self._limit * GROWTH_FACTOR + 1.0
+        if now < self._ceiling_until and grown > CAREFUL_FRACTION * self._ceiling:
+            grown = self._limit + CAREFUL_STEP
+        self._limit = min(float(self.slots), grown)
+
+    def _may_be_own(self, ratio: float) -> bool:
+        # Whether more calls at once could have raised the latency that far.
+        use = self._peak / max(1.0, self._baseline_use)
+        explained: float = max(1.0, use) ** STEEPEST_POWER
+        return ratio <= explained
 
     def _was_useful(self, cut: _Cut, latency_s: float) -> bool:
         drop = 1.0 - self._limit / cut.limit
--- a/packages/endivebeam-limits/src/endivebeam_limits/_fair_queue.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_fair_queue.py
@@ -11,6 +11,10 @@
 # Smallest weight of an account; keeps shares finite for a contract rate of 0.
 MIN_WEIGHT = 0.1
 MAX_REMEMBERED = 1024
+# Waiting calls of an account that are evicted after the excess of all others.
+# Measured in parts of its weight, even one waiting call puts a small account
+# above its share, and it would lose every call.
+FREE_CALLS = 2
 
 SERVING_ORDER = (Criticality.CRITICAL, Criticality.NORMAL, Criticality.SHEDDABLE)
 
@@ -78,11 +82,14 @@
 
     def find_victim(self, arriving: Ticket | None) -> Ticket:
         """Return the call of the account furthest above its share to evict."""
-        shares = {a: len(b.tickets) / b.weight for a, b in self._backlogs.items()}
+        shares = {
+            account: _excess(len(backlog.tickets), backlog.weight)
+            for account, backlog in self._backlogs.items()
+        }
         if arriving is not None:
             held = self._backlogs.get(arriving.account)
             waiting = 1 + (len(held.tickets) if held else 0)
-            shares[arriving.account] = waiting / _weight(arriving)
+            shares[arriving.account] = _excess(waiting, _weight(arriving))
         worst = max(shares, key=lambda account: shares[account])
         backlog = self._backlogs.get(worst)
         if backlog is None:
@@ -187,5 +194,9 @@
     return -ticket.depth, ticket.order
 
 
+def _excess(waiting: int, weight: float) -> float:
+    return max(0, waiting - FREE_CALLS) / weight
+
+
 def _weight(ticket: Ticket) -> float:
     return max(MIN_WEIGHT, ticket.weight)
--- a/packages/endivebeam-node/src/endivebeam_node/_admission.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_admission.py
@@ -15,11 +15,12 @@
 
 from endivebeam_limits import Admission, Changes, Ticket, TicketState
 from endivebeam_model import Refusal, RefusalReason
-from endivebeam_wire import CallRefused, CallRequest, LoadReport
+from endivebeam_wire import CallAnswer, CallRefused, CallRequest, LoadReport
 
 from ._config import ConfigCopy
+from ._inflight import Context
 from ._outcomes import RETRY_AFTER_S
-from ._ports import Forward, Outcome
+from ._ports import Outcome
 from ._targets import Announcement, LocalTarget
 
 # A target needs a moment to notice that the connection of a cancelled call was
@@ -30,7 +31,8 @@
 class LocalAdmission:
     """Slots of the local target and the calls that wait for them.
 
-    ``admit`` and ``report`` are the ports ``Admit`` and ``ReportLoad``.
+    ``admit``, ``report`` and ``measure`` are the ports ``Admit``, ``ReportLoad``
+    and ``Measure``.
     """
 
     def __init__(
@@ -73,24 +75,25 @@
         finally:
             self._leave(ticket, cancelled)
 
-    def watch(self, forward: Forward) -> Forward:
-        """Return a forward function that also measures the target."""
-
-        async def measured(call: CallRequest) -> Outcome:
-            limit = self._admission.limit
-            started = self._clock()
-            try:
-                outcome = await forward(call)
-            except anyio.get_cancelled_exc_class():
-                limit.observe_abandoned(started, self._clock())
-                raise
-            if not isinstance(outcome, CallRefused):
-                limit.observe(started, self._clock())
-            elif outcome.refusal.reason is RefusalReason.OVERLOADED:
-                limit.observe_shed(self._admission.in_use, self._clock())
-            return outcome
-
-        return measured
+    def measure(self, context: Context, opened: float, outcome: Outcome | None) -> None:
+        """Learn from a call that the target has served.
+
+        ``outcome`` is None when the call was cancelled.
+        """
+        now = self._clock()
+        limit = self._admission.limit
+        nested_s = context.waited_s(now)
+        match outcome:
+            case None:
+                limit.observe_abandoned(opened, now, nested_s)
+            case CallAnswer(status=status):
+                # Failures are often faster than answers and do not tell how
+                # fast the target works.
+                if status < 500:
+                    limit.observe(opened, now, nested_s)
+            case CallRefused(refusal=refusal):
+                if refusal.reason is RefusalReason.OVERLOADED:
+                    limit.observe_shed(self._admission.in_use, now)
 
     def report(self) -> LoadReport:
         """Return the calls that hold or wait for slots, and the limit."""
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -113,6 +113,7 @@
             target=self.target,
             in_flight=self.in_flight,
             report_load=self.admission.report,
+            measure=self.admission.measure,
         )
         self.calls = CallPath(
             local=NodeId(settings.node_id),
@@ -120,7 +121,7 @@
             choose=self._choose,
             observe=self._observe,
             admit=self.admission.admit,
-            forward=self.admission.watch(self.forwarder.forward),
+            forward=self.forwarder.forward,
             run_once=self._run_once,
             budgets=RetryBudgets(),
         )
--- a/packages/endivebeam-node/src/endivebeam_node/_forward.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_forward.py
@@ -20,7 +20,7 @@
 
 from ._inflight import Context, InFlight
 from ._outcomes import RETRY_AFTER_S, refuse
-from ._ports import Outcome, ReportLoad
+from ._ports import Measure, Outcome, ReportLoad
 from ._targets import Announcement, LocalTarget
 
 CONTEXT_FIELD = b"endivebeam-context"
@@ -38,11 +38,13 @@
         target: LocalTarget,
         in_flight: InFlight,
         report_load: ReportLoad,
+        measure: Measure,
     ) -> None:
         self._tasks = tasks
         self._target = target
         self._in_flight = in_flight
         self._report_load = report_load
+        self._measure = measure
         self._pool: ClientPool | None = None
         self._pool_port = 0
 
@@ -57,14 +59,17 @@
                 credits=call.retry_credits,
             )
         pool = self._pool_for(announcement)
-        deadline = anyio.current_time() + call.timeout_ms / 1000
-        context = self._in_flight.open(call, deadline)
+        opened = anyio.current_time()
+        context = self._in_flight.open(call, opened + call.timeout_ms / 1000)
+        outcome: Outcome | None = None
         try:
-            return await self._exchange(pool, call, context)
+            outcome = await self._exchange(pool, call, context)
+            return outcome
         except anyio.get_cancelled_exc_class():
             context.cancel_nested()
             raise
         finally:
+            self._measure(context, opened, outcome)
             self._in_flight.close(context)
 
     async def _exchange(
--- a/packages/endivebeam-node/src/endivebeam_node/_inflight.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_inflight.py
@@ -40,7 +40,8 @@
     ``lent`` is true while a nested call holds them. ``deadline`` is monotonic.
     ``has_nested`` is true once the target made a call that may belong to this
     one. ``failed`` has digests of nested calls that failed, so that a target
-    that repeats one is charged a credit. ``scopes`` cancel the nested calls.
+    that repeats one is charged a credit. ``scopes`` cancel the nested calls;
+    ``nested_s`` is the time during which at least one was in progress.
     """
 
     token: str
@@ -52,6 +53,26 @@
     has_nested: bool = False
     failed: set[bytes] = field(default_factory=set)
     scopes: set[anyio.CancelScope] = field(default_factory=set)
+    nested_s: float = 0.0
+    nested_since: float = 0.0
+
+    def enter_nested(self, scope: anyio.CancelScope, now: float) -> None:
+        """Note that a nested call starts; ``scope`` cancels it."""
+        if not self.scopes:
+            self.nested_since = now
+        self.scopes.add(scope)
+
+    def leave_nested(self, scope: anyio.CancelScope, now: float) -> None:
+        """Note that a nested call ended."""
+        self.scopes.discard(scope)
+        if not self.scopes:
+            self.nested_s += now - self.nested_since
+
+    def waited_s(self, now: float) -> float:
+        """Return how long the target has waited for nested calls."""
+        if not self.scopes:
+            return self.nested_s
+        return self.nested_s + now - self.nested_since
 
     def cancel_nested(self) -> None:
         """Cancel the nested calls, whose results nobody waits for."""
--- a/packages/endivebeam-node/src/endivebeam_node/_nested.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_nested.py
@@ -128,11 +128,11 @@
     async def _route_below(self, context: Context, call: CallRequest) -> Outcome:
         outcome: Outcome | None = None
         with anyio.CancelScope() as scope:
-            context.scopes.add(scope)
+            context.enter_nested(scope, anyio.current_time())
             try:
                 outcome = await self._calls.route(call)
             finally:
-                context.scopes.discard(scope)
+                context.leave_nested(scope, anyio.current_time())
                 if _has_failed(outcome):
                     context.failed.add(_digest_call(call))
         if outcome is None:
--- a/packages/endivebeam-node/src/endivebeam_node/_ports.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_ports.py
@@ -8,6 +8,8 @@
 from endivebeam_model import Contract, Member, NodeId, Refusal, ServiceName
 from endivebeam_wire import CallAnswer, CallRefused, CallRequest, LoadReport
 
+from ._inflight import Context
+
 Outcome = CallAnswer | CallRefused
 
 TakeToken = Callable[[Contract], Awaitable[Refusal | None]]
@@ -25,6 +27,9 @@
 ReportLoad = Callable[[], LoadReport]
 """Returns the load of the local target."""
 
+Measure = Callable[[Context, float, Outcome | None], None]
+"""Tells the admission how a call ended that was opened at a time; None: cancelled."""
+
 Forward = Callable[[CallRequest], Awaitable[Outcome]]
 """Sends a call to the local target and returns its outcome."""
 
