--- a/packages/endivebeam-limits/src/endivebeam_limits/_fair_queue.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_fair_queue.py
@@ -44,8 +44,8 @@
 
     In each round an account earns its weight divided by the largest weight
     that waits; one call costs 1. An account whose calls are all served keeps
-    earning up to ``MAX_IDLE_CREDIT`` calls, so that a small account with few calls is not
-    delayed by a full round for each of them.
+    earning up to ``MAX_IDLE_CREDIT`` calls, so that a small account with few
+    calls is not delayed by a full round for each of them.
     """
 
     def __init__(self) -> None:
