--- /dev/null
+++ b/benchmarks/chain_model.py
@@ -0,0 +1,401 @@
+"""Chains of calls over real call paths, with a thin fake of the network.
+
+Every service has a few nodes with the real ``CallPath``, ``LocalHandler``,
+``TargetForwarder`` and ``LocalAdmission``. Peer streams, target connections and
+time are fakes; a seeded random source injects the faults.
+"""
+
+import asyncio
+import itertools
+import random
+import selectors
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import anyio
+import anyio.abc
+
+from endivebeam_http import ClientPool, ConnectionLostError, Field, Request, Response
+from endivebeam_limits import RetryBudgets
+from endivebeam_model import (
+    AccountId,
+    Address,
+    ChainId,
+    ConfigVersion,
+    Criticality,
+    DomainName,
+    Member,
+    MemberState,
+    NodeId,
+    RefusalReason,
+    RegionName,
+    Route,
+    Semantics,
+    Service,
+    ServiceName,
+    Snapshot,
+)
+from endivebeam_node._admission import LocalAdmission
+from endivebeam_node._calls import CallPath
+from endivebeam_node._config import ConfigCopy
+from endivebeam_node._forward import CONTEXT_FIELD, TargetForwarder
+from endivebeam_node._inflight import InFlight
+from endivebeam_node._nested import LocalHandler
+from endivebeam_node._outcomes import refuse
+from endivebeam_node._peers import Peers, UnreachableError
+from endivebeam_node._ports import Forward, Outcome
+from endivebeam_node._targets import Announcement, LocalTarget
+from endivebeam_wire import CallRefused, CallRequest, StreamLostError
+
+NODES_PER_SERVICE = 4
+SLOTS = 1000
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose clock jumps to the next timer instead of waiting."""
+
+    def __init__(self) -> None:
+        self._now = 1000.0
+        super().__init__(_JumpingSelector(self))
+
+    def time(self) -> float:
+        """Return the virtual time."""
+        return self._now
+
+    def jump(self, seconds: float) -> None:
+        """Advance the virtual time."""
+        self._now += seconds
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__()
+        self._loop = loop
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout:
+            self._loop.jump(timeout)
+        return super().select(0)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Faults:
+    """Probabilities of faults and the habits of the targets.
+
+    ``fails`` of the leaf's executions end with a lost connection, ``errors``
+    of all executions with status 500, ``sheds`` with a refusal of the target.
+    ``lost`` streams break during a call, ``drains`` calls meet a draining node.
+    ``repeats`` is how often targets repeat a failed nested call on their own.
+    ``drops`` of the nested calls carry no context. With ``fans`` above 1 every
+    target makes this many concurrent nested calls.
+    """
+
+    fails: float = 0.0
+    errors: float = 0.0
+    sheds: float = 0.0
+    lost: float = 0.0
+    drains: float = 0.0
+    repeats: int = 0
+    drops: float = 0.0
+    fans: int = 1
+    leaf_hangs: bool = False
+
+
+@dataclass(slots=True)
+class Tally:
+    """Attempts and declined contacts per logical call, and executions per depth."""
+
+    attempts: Counter[str] = field(default_factory=Counter)
+    declined: Counter[str] = field(default_factory=Counter)
+    executions: Counter[int] = field(default_factory=Counter)
+    running: int = 0
+
+    @property
+    def extra(self) -> int:
+        """Attempts beyond the first one of each logical call."""
+        return sum(count - 1 for count in self.attempts.values())
+
+
+class _FakeStream:
+    """A peer stream that serves a call on the other node, or loses it."""
+
+    def __init__(self, chain: "Chain", node: "ChainNode") -> None:
+        self._chain = chain
+        self._node = node
+
+    def next_id(self) -> int:
+        return next(self._chain.ids)
+
+    async def ask(self, request: CallRequest) -> Outcome:
+        chain = self._chain
+        if chain.draw(chain.faults.drains):
+            chain.tally.declined[request.path] += 1
+            return refuse(
+                RefusalReason.DRAINING, "draining", credits=request.retry_credits
+            )
+        chain.tally.attempts[request.path] += 1
+        if chain.draw(chain.faults.lost):
+            # The other node may go on with the call although the stream is lost.
+            if chain.draw(0.5):
+                chain.tasks.start_soon(self._node.calls.serve, request)
+            raise StreamLostError("lost")
+        return await self._node.calls.serve(request)
+
+
+class _FakePeers:
+    def __init__(self, chain: "Chain") -> None:
+        self._chain = chain
+
+    async def connect(self, address: Address) -> _FakeStream:
+        if self._chain.draw(self._chain.faults.drains / 2):
+            raise UnreachableError("refused")
+        return _FakeStream(self._chain, self._chain.by_port[address.port])
+
+
+class _FakePool:
+    """Connections to a target that runs the script of the chain."""
+
+    def __init__(self, node: "ChainNode") -> None:
+        self._node = node
+
+    async def request(self, request: Request) -> Response:
+        return await self._node.chain.run_target(self._node, request)
+
+
+class _ChainForwarder(TargetForwarder):
+    node: "ChainNode"
+
+    def _pool_for(self, announcement: Announcement) -> ClientPool:
+        return cast(ClientPool, _FakePool(self.node))
+
+
+class ChainNode:
+    """One node with its call path and local handler."""
+
+    def __init__(self, chain: "Chain", depth: int, port: int) -> None:
+        self.chain = chain
+        self.depth = depth
+        target = LocalTarget()
+        target.announce(
+            b'{"service":"s%d","port":1,"slots":%d,"connections":%d}'
+            % (depth, SLOTS, SLOTS),
+            anyio.current_time(),
+        )
+        in_flight = InFlight()
+        admission = LocalAdmission(
+            tasks=chain.tasks, target=target, config=chain.config
+        )
+        forwarder = _ChainForwarder(
+            tasks=chain.tasks,
+            target=target,
+            in_flight=in_flight,
+            report_load=admission.report,
+            measure=admission.measure,
+        )
+        forwarder.node = self
+        self.member = Member(
+            node_id=NodeId(f"n{port}"),
+            incarnation=1,
+            sequence=0,
+            address=Address("127.0.0.1", port),
+            region=RegionName("r"),
+            domain=DomainName("d"),
+            service=ServiceName(f"s{depth}"),
+            slots=SLOTS,
+            state=MemberState.SERVING,
+        )
+        self.calls = CallPath(
+            local=self.member.node_id,
+            peers=cast(Peers, _FakePeers(chain)),
+            choose=chain.choose,
+            observe=lambda node_id, observation: None,
+            admit=admission.admit,
+            forward=forwarder.forward,
+            run_once=_run_directly,
+            budgets=chain.budgets,
+        )
+        self.local = LocalHandler(
+            config=chain.config,
+            calls=self.calls,
+            target=target,
+            in_flight=in_flight,
+            on_announcement=lambda announcement: None,
+        )
+
+
+async def _run_directly(call: CallRequest, forward: Forward) -> Outcome:
+    return await forward(call)
+
+
+class _Budgets(RetryBudgets):
+    """Budgets that never run out, so that only the credits bound the retries."""
+
+    def of(self, service: ServiceName) -> Any:
+        return self
+
+    def note_call(self, now: float) -> None:
+        pass
+
+    def take_retry(self, now: float) -> bool:
+        return True
+
+
+class Chain:
+    """Services in a row, each calling the next one."""
+
+    def __init__(
+        self, *, depth: int, faults: Faults, seed: int, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        self.depth = depth
+        self.faults = faults
+        self.tasks = tasks
+        self.tally = Tally()
+        self.ids: Iterator[int] = itertools.count(1)
+        self.budgets = _Budgets()
+        self.config = ConfigCopy()
+        self.config.snapshot = Snapshot(
+            version=ConfigVersion(1),
+            services={
+                ServiceName(f"s{d}"): Service(
+                    service=ServiceName(f"s{d}"), routes=(Route(),)
+                )
+                for d in range(1, depth + 1)
+            },
+        )
+        self._random = random.Random(seed)
+        self.by_port: dict[int, ChainNode] = {}
+        for d in range(depth + 1):
+            for _ in range(NODES_PER_SERVICE if d else 1):
+                port = len(self.by_port) + 1
+                self.by_port[port] = ChainNode(self, d, port)
+
+    def draw(self, probability: float) -> bool:
+        """Return True with a probability."""
+        return self._random.random() < probability
+
+    def choose(
+        self, service: ServiceName, excluded: frozenset[NodeId]
+    ) -> Member | None:
+        """Choose any node of a service that is not excluded."""
+        found = [
+            node.member
+            for node in self.by_port.values()
+            if node.member.service == service and node.member.node_id not in excluded
+        ]
+        return self._random.choice(found) if found else None
+
+    async def call(self, credits: int, timeout_s: float = 10.0) -> Outcome:
+        """Send one request from outside."""
+        request = CallRequest(
+            request_id=0,
+            service=ServiceName("s1"),
+            method="GET",
+            path=f"/{next(self.ids)}",
+            headers=[],
+            body=b"",
+            account=AccountId("a"),
+            chain_id=ChainId("c"),
+            depth=1,
+            timeout_ms=round(timeout_s * 1000),
+            criticality=Criticality.NORMAL,
+            semantics=Semantics.IDEMPOTENT,
+            retry_credits=credits,
+        )
+        return await self.by_port[1].calls.route(request)
+
+    async def run_target(self, node: ChainNode, request: Request) -> Response:
+        """Run one call as the target of a node."""
+        faults = self.faults
+        if self.draw(faults.sheds):
+            return _respond(503, Field(b"endivebeam-run", b"not-run"))
+        self.tally.executions[node.depth] += 1
+        self.tally.running += 1
+        try:
+            if node.depth < self.depth:
+                return await self._call_next(node, request)
+            if faults.leaf_hangs:
+                await anyio.sleep(3600.0)
+        finally:
+            self.tally.running -= 1
+        if self.draw(faults.fails):
+            raise ConnectionLostError("lost")
+        return _respond(500 if self.draw(faults.errors) else 200)
+
+    async def _call_next(self, node: ChainNode, request: Request) -> Response:
+        results: list[Response] = []
+
+        async def call_one() -> None:
+            results.append(await self._call_repeatedly(node, request))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(self.faults.fans):
+                group.start_soon(call_one)
+        worst = max(results, key=lambda response: response.status)
+        # Many targets pass a failure on as it came.
+        return _respond(worst.status, *worst.fields)
+
+    async def _call_repeatedly(self, node: ChainNode, request: Request) -> Response:
+        path = f"/s{node.depth + 1}/{next(self.ids)}"
+        fields = []
+        if not self.draw(self.faults.drops):
+            fields.append(Field(CONTEXT_FIELD, request.get(CONTEXT_FIELD) or b""))
+        nested = Request(method="GET", target=path, fields=fields, body=b"")
+        response = await node.local.handle(nested)
+        for _ in range(self.faults.repeats):
+            if response.status < 500:
+                break
+            response = await node.local.handle(nested)
+        return response
+
+
+def _respond(status: int, *fields: Field) -> Response:
+    return Response(status=status, fields=list(fields), body=b"")
+
+
+@dataclass(slots=True, kw_only=True)
+class ChainResult:
+    """Tally and outcome of one request."""
+
+    tally: Tally
+    outcome: Outcome
+    still_running: int
+
+    @property
+    def refusal_run(self) -> str | None:
+        """Run status of the refusal, or None for an answer."""
+        match self.outcome:
+            case CallRefused(refusal=refusal):
+                return refusal.run.value
+        return None
+
+
+def run_chain(
+    *,
+    depth: int,
+    faults: Faults,
+    credits: int,
+    seed: int,
+    timeout_s: float = 10.0,
+) -> ChainResult:
+    """Send one request through a chain and wait until all of its work ended."""
+
+    async def run() -> ChainResult:
+        async with anyio.create_task_group() as tasks:
+            chain = Chain(depth=depth, faults=faults, seed=seed, tasks=tasks)
+            outcome = await chain.call(credits, timeout_s)
+            # Cancelled work needs a few turns of the event loop to unwind.
+            for _ in range(20):
+                await anyio.sleep(0)
+            running = chain.tally.running
+            await anyio.sleep(60.0)
+            tasks.cancel_scope.cancel()
+        return ChainResult(tally=chain.tally, outcome=outcome, still_running=running)
+
+    start: Callable[[], Awaitable[ChainResult]] = run
+    return anyio.run(
+        start, backend="asyncio", backend_options={"loop_factory": VirtualLoop}
+    )
--- a/packages/endivebeam-node/src/endivebeam_node/_calls.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_calls.py
@@ -1,7 +1,5 @@
 """The call path: from an entry or nested call to the target that runs it."""
 
-import time
-
 import anyio
 import msgspec
 
@@ -69,7 +67,7 @@
         a credit, at most ``MAX_MOVES`` times. A retry costs one credit and one
         retry of the service's budget.
         """
-        started = time.monotonic()
+        started = anyio.current_time()
         self._budgets.of(call.service).note_call(started)
         member = self._choose(call.service, frozenset())
         if member is None:
@@ -78,7 +76,7 @@
         moves = 0
         uncertain: CallRefused | None = None
         while True:
-            left = call.timeout_ms - round((time.monotonic() - started) * 1000)
+            left = call.timeout_ms - round((anyio.current_time() - started) * 1000)
             if left <= 0:
                 refused = refuse(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed")
                 return _worst(refused, uncertain)
@@ -108,7 +106,7 @@
     def _take_retry(self, call: CallRequest, outcome: CallRefused) -> bool:
         if not _may_retry(call, outcome):
             return False
-        return self._budgets.of(call.service).take_retry(time.monotonic())
+        return self._budgets.of(call.service).take_retry(anyio.current_time())
 
     async def serve(self, call: CallRequest) -> Outcome:
         """Run a call on the target beside this node."""
@@ -145,12 +143,12 @@
         )
 
     async def _attempt(self, member: Member, call: CallRequest) -> Outcome:
-        started = time.monotonic()
+        started = anyio.current_time()
         if member.node_id == self._local:
             outcome = await self.serve(call)
         else:
             outcome = await self._ask_peer(member, call)
-        latency_s = time.monotonic() - started
+        latency_s = anyio.current_time() - started
         if isinstance(outcome, CallAnswer):
             self._observe(
                 member.node_id, Observation(latency_s=latency_s, load=outcome.load)
--- /dev/null
+++ b/packages/endivebeam-node/tests/test_chain_retries.py
@@ -0,0 +1,99 @@
+"""I1: retries of one request are bounded over its whole chain."""
+
+from collections.abc import Iterator
+
+import pytest
+from benchmarks.chain_model import Faults, run_chain
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loguru import logger
+
+MAX_DEPTH = 23
+MAX_MOVES = 3
+
+
+@pytest.fixture(autouse=True, scope="module")
+def _quiet() -> Iterator[None]:
+    logger.disable("endivebeam_node")
+    yield
+    logger.enable("endivebeam_node")
+
+
+FAULTS = st.builds(
+    Faults,
+    fails=st.sampled_from([0.0, 0.5, 1.0]),
+    errors=st.sampled_from([0.0, 0.3]),
+    sheds=st.sampled_from([0.0, 0.2]),
+    lost=st.sampled_from([0.0, 0.1, 0.3]),
+    drains=st.sampled_from([0.0, 0.3]),
+    repeats=st.sampled_from([0, 3]),
+)
+
+
+class TestCreditBound:
+    @settings(max_examples=60)
+    @given(
+        depth=st.integers(1, MAX_DEPTH),
+        faults=FAULTS,
+        credits=st.integers(0, 4),
+        seed=st.integers(0, 2**32),
+    )
+    def test_chain_spends_at_most_its_credits(
+        self, depth: int, faults: Faults, credits: int, seed: int
+    ):
+        """Guards against retries that multiply over depth or lost streams."""
+        result = run_chain(depth=depth, faults=faults, credits=credits, seed=seed)
+        tally = result.tally
+        assert tally.extra <= credits
+        assert max(tally.executions.values(), default=0) <= 1 + credits
+        # One pass of a call contacts at most 1 + MAX_MOVES draining nodes, and a
+        # chain makes at most 1 + credits passes of each of its calls.
+        contacts = (1 + MAX_MOVES) * (1 + credits)
+        assert max(tally.declined.values(), default=0) <= contacts
+        assert sum(tally.declined.values()) <= contacts * depth
+
+    @settings(max_examples=40)
+    @given(
+        depth=st.integers(2, 5),
+        faults=FAULTS,
+        drops=st.sampled_from([0.0, 0.5]),
+        credits=st.integers(0, 4),
+        seed=st.integers(0, 2**32),
+    )
+    def test_concurrent_nested_calls_share_the_credits(
+        self, depth: int, faults: Faults, drops: float, credits: int, seed: int
+    ):
+        """Guards against credits lent twice, or to calls without a context."""
+        mixed = Faults(
+            fails=faults.fails,
+            errors=faults.errors,
+            lost=faults.lost,
+            # Without a context a repeat by the target cannot be told from
+            # another call, so only retries by nodes are counted there.
+            repeats=0 if drops else faults.repeats,
+            drops=drops,
+            fans=2,
+        )
+        result = run_chain(depth=depth, faults=mixed, credits=credits, seed=seed)
+        assert result.tally.extra <= credits
+
+    def test_refusal_after_a_lost_attempt_is_uncertain(self):
+        """Guards against "not run" after an attempt that may have run."""
+        faults = Faults(lost=1.0)
+        for seed in range(20):
+            result = run_chain(depth=1, faults=faults, credits=3, seed=seed)
+            assert result.refusal_run == "unknown"
+
+
+class TestCancellation:
+    def test_work_stops_at_the_deadline(self):
+        """Guards against work for a caller that is gone, at every depth."""
+        result = run_chain(
+            depth=6,
+            faults=Faults(leaf_hangs=True),
+            credits=2,
+            seed=1,
+            timeout_s=1.0,
+        )
+        assert result.tally.executions[6] == 1
+        assert result.still_running == 0
