--- a/packages/endivebeam-limits/src/endivebeam_limits/_concurrency.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_concurrency.py
@@ -12,6 +12,7 @@
 COLD_START_FRACTION = 0.5
 WINDOW_S = 0.1
 MIN_SAMPLES = 10
+MIN_VERDICT_SAMPLES = 50
 IN_USE_FRACTION = 0.9
 TOLERATED_RATIO = 1.5
 # Latency that grows faster than this power of the calls in use has another cause.
@@ -116,13 +117,16 @@
 
     def _window_complete(self, now: float) -> bool:
         elapsed_s = now - self._opened_at
-        if self._samples < max(MIN_SAMPLES, self.limit) or elapsed_s < WINDOW_S:
-            return False
+        needed = max(MIN_SAMPLES, self.limit)
         if self.latency_s is not None and self._cut is None:
-            return True
+            return self._samples >= needed and elapsed_s >= WINDOW_S
         # Only calls started in this window count, so the shortest end first and
-        # their mean is too low until some latencies have passed.
-        return elapsed_s >= SETTLE_LATENCIES * self._total_s / self._samples
+        # their mean is too low until some latencies have passed. The first
+        # baseline and the verdict on a cut last long and need more samples.
+        if self._samples < max(MIN_VERDICT_SAMPLES, 2 * needed):
+            return False
+        settled_s = SETTLE_LATENCIES * self._total_s / self._samples
+        return elapsed_s >= max(WINDOW_S, settled_s)
 
     def _open_window(self, now: float) -> None:
         self._opened_at = now
