Judge a latency by the mean calls at work; test overload of a fleet

Change: Little's law gives the mean. A process test sends three times what two targets can hold: slots are never exceeded, every critical call is answered, refused calls say overloaded and not-run, and did not run.

--- a/packages/endivebeam-limits/src/endivebeam_limits/_concurrency.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_concurrency.py
@@ -60,6 +60,7 @@
         self._high_windows = 0
         self._ceiling = 0.0
         self._ceiling_until = 0.0
+        self._use = 0.0
         self._baseline_use = 1.0
 
     @property
@@ -99,6 +100,8 @@
         self._total_s += max(0.0, now - started - nested_s)
         self._samples += 1
         if self._window_complete(now):
+            # Mean number of calls at work, by Little's law.
+            self._use = self._total_s / max(1e-9, now - self._opened_at)
             self._adjust(self._total_s / self._samples, now)
             self._open_window(now)
 
@@ -175,12 +178,12 @@
 
     def _adopt(self, latency_s: float) -> None:
         self.baseline_s = latency_s
-        self._baseline_use = float(self._peak)
+        self._baseline_use = self._use
 
     def _follow(self, latency_s: float) -> None:
         self.baseline_s = self._baseline_s
         self.baseline_s += BASELINE_WEIGHT * (latency_s - self.baseline_s)
-        self._baseline_use += BASELINE_WEIGHT * (self._peak - self._baseline_use)
+        self._baseline_use += BASELINE_WEIGHT * (self._use - self._baseline_use)
 
     def _grow(self, now: float) -> None:
         grown = self._limit * GROWTH_FACTOR + 1.0
@@ -190,7 +193,7 @@
 
     def _may_be_own(self, ratio: float) -> bool:
         # Whether more calls at once could have raised the latency that far.
-        use = self._peak / max(1.0, self._baseline_use)
+        use = self._use / max(1.0, self._baseline_use)
         explained: float = max(1.0, use) ** STEEPEST_POWER
         return ratio <= explained
 
--- a/packages/endivebeam-standins/src/endivebeam_standins/target.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/target.py
@@ -4,13 +4,14 @@
 
 - ``POST /deposits`` counts executions per idempotency key.
 - ``GET /ledger`` returns these counts.
+- ``GET /record`` returns the most calls offered at once and the paths that ran.
 - ``GET /chain/<service>/<path>`` calls another service through the node.
 - anything else echoes the method, path, headers and body as JSON.
 """
 
 import base64
 import signal
-from collections import Counter
+from collections import Counter, deque
 from pathlib import Path
 from typing import Annotated
 
@@ -32,6 +33,7 @@
 
 ANNOUNCE_PERIOD_S = 2.0
 RETRY_PERIOD_S = 0.1
+MAX_PATHS = 4096
 
 
 class Echo(msgspec.Struct, frozen=True, kw_only=True):
@@ -74,6 +76,8 @@
         self.executions: Counter[str] = Counter()
         self.in_use = 0
         self.peak_in_use = 0
+        self.peak_offered = 0
+        self.paths: deque[str] = deque(maxlen=MAX_PATHS)
         self._node = httpx.AsyncClient(
             base_url=f"http://127.0.0.1:{node_port}", timeout=30.0
         )
@@ -85,11 +89,15 @@
             return Response(status=204)
         if request.target == "/ledger":
             return _json(dict(self.executions))
+        if request.target == "/record":
+            return _json({"peak_offered": self.peak_offered, "paths": list(self.paths)})
+        self.peak_offered = max(self.peak_offered, self.in_use + 1)
         if self.control.refuse or self.in_use >= self.slots:
             fields = [Field(b"endivebeam-run", b"not-run")]
             return Response(status=503, fields=fields)
         self.in_use += 1
         self.peak_in_use = max(self.peak_in_use, self.in_use)
+        self.paths.append(request.target)
         try:
             return await self._run(request)
         finally:
