Test slots of the local target on every way a call can end

Answer, error, cancellation and deadline in virtual time; a refusal after an attempt that may have run; nested calls of a target that ignores cancellation.

--- a/benchmarks/chain_model.py
+++ b/benchmarks/chain_model.py
@@ -91,7 +91,8 @@
     ``lost`` streams break during a call, ``drains`` calls meet a draining node.
     ``repeats`` is how often targets repeat a failed nested call on their own.
     ``drops`` of the nested calls carry no context. With ``fans`` above 1 every
-    target makes this many concurrent nested calls.
+    target makes this many concurrent nested calls. ``detached`` targets go on
+    with their nested calls when their own call was cancelled.
     """
 
     fails: float = 0.0
@@ -103,6 +104,7 @@
     drops: float = 0.0
     fans: int = 1
     leaf_hangs: bool = False
+    detached: bool = False
 
 
 @dataclass(slots=True)
@@ -113,6 +115,7 @@
     declined: Counter[str] = field(default_factory=Counter)
     executions: Counter[int] = field(default_factory=Counter)
     running: int = 0
+    uncertain: int = 0
 
     @property
     def extra(self) -> int:
@@ -142,6 +145,7 @@
             # The other node may go on with the call although the stream is lost.
             if chain.draw(0.5):
                 chain.tasks.start_soon(self._node.calls.serve, request)
+            chain.tally.uncertain += 1
             raise StreamLostError("lost")
         return await self._node.calls.serve(request)
 
@@ -331,13 +335,26 @@
         async def call_one() -> None:
             results.append(await self._call_repeatedly(node, request))
 
-        async with anyio.create_task_group() as group:
-            for _ in range(self.faults.fans):
-                group.start_soon(call_one)
+        if self.faults.detached:
+            await self._run_detached(call_one)
+        else:
+            async with anyio.create_task_group() as group:
+                for _ in range(self.faults.fans):
+                    group.start_soon(call_one)
         worst = max(results, key=lambda response: response.status)
         # Many targets pass a failure on as it came.
         return _respond(worst.status, *worst.fields)
 
+    async def _run_detached(self, run: Callable[[], Awaitable[None]]) -> None:
+        ended = anyio.Event()
+
+        async def run_and_tell() -> None:
+            await run()
+            ended.set()
+
+        self.tasks.start_soon(run_and_tell)
+        await ended.wait()
+
     async def _call_repeatedly(self, node: ChainNode, request: Request) -> Response:
         path = f"/s{node.depth + 1}/{next(self.ids)}"
         fields = []
--- /dev/null
+++ b/packages/endivebeam-node/tests/test_local_admission.py
@@ -0,0 +1,173 @@
+"""Slots of the local target on every way a call can end."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+from benchmarks.chain_model import VirtualLoop
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from endivebeam_model import (
+    AccountId,
+    ChainId,
+    Criticality,
+    RefusalReason,
+    RunStatus,
+    Semantics,
+    ServiceName,
+)
+from endivebeam_node._admission import CANCEL_GRACE_S, LocalAdmission
+from endivebeam_node._config import ConfigCopy
+from endivebeam_node._targets import LocalTarget
+from endivebeam_wire import CallRequest
+
+SLOTS = 4
+ENDINGS = ["answer", "error", "cancel", "deadline"]
+
+
+def make_call(timeout_s: float = 10.0) -> CallRequest:
+    return CallRequest(
+        request_id=0,
+        service=ServiceName("s"),
+        method="GET",
+        path="/",
+        headers=[],
+        body=b"",
+        account=AccountId("a"),
+        chain_id=ChainId("c"),
+        depth=1,
+        timeout_ms=round(timeout_s * 1000),
+        criticality=Criticality.NORMAL,
+        semantics=Semantics.IDEMPOTENT,
+        retry_credits=0,
+    )
+
+
+def run_virtually(run: Callable[[], Awaitable[None]]) -> None:
+    anyio.run(run, backend="asyncio", backend_options={"loop_factory": VirtualLoop})
+
+
+class Bench:
+    """An admission with an announced target, and the calls that hold its slots."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, connections: int = 100) -> None:
+        self.target = LocalTarget()
+        self.connections = connections
+        self.announce()
+        self.admission = LocalAdmission(
+            tasks=tasks, target=self.target, config=ConfigCopy()
+        )
+        self.running = 0
+        self.peak = 0
+        self.refusals: list[RefusalReason] = []
+
+    def announce(self) -> None:
+        body = b'{"service":"s","port":1,"slots":%d,"connections":%d}'
+        self.target.announce(
+            body % (SLOTS, self.connections), anyio.current_time()
+        ).unwrap()
+
+    async def call(self, ending: str, after_s: float) -> None:
+        limit_s = after_s if ending in ("cancel", "deadline") else 10.0
+        with anyio.move_on_after(limit_s):
+            async with self.admission.admit(make_call(limit_s)) as admitted:
+                refusal = admitted.swap().value_or(None)
+                if refusal is not None:
+                    assert refusal.run is RunStatus.NOT_RUN
+                    self.refusals.append(refusal.reason)
+                    return
+                await self.hold(ending, after_s)
+
+    async def hold(self, ending: str, after_s: float) -> None:
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+        try:
+            await anyio.sleep(after_s if ending in ("answer", "error") else 3600.0)
+            if ending == "error":
+                raise OSError("the target broke")
+        except OSError:
+            pass
+        finally:
+            self.running -= 1
+
+
+class TestRelease:
+    @settings(max_examples=40)
+    @given(
+        calls=st.lists(
+            st.tuples(
+                st.sampled_from(ENDINGS), st.floats(0.0, 1.0), st.floats(0.0, 0.2)
+            ),
+            max_size=60,
+        )
+    )
+    def test_slots_come_back_once(self, calls: list[tuple[str, float, float]]):
+        """Guards against slots that leak or are given to two calls."""
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                bench = Bench(tasks)
+                async with anyio.create_task_group() as group:
+                    for ending, after_s, pause_s in calls:
+                        group.start_soon(bench.call, ending, after_s)
+                        await anyio.sleep(pause_s)
+                await anyio.sleep(2 * CANCEL_GRACE_S)
+                assert bench.peak <= SLOTS
+                assert bench.admission.report().in_use == 0
+                assert set(bench.refusals) <= {
+                    RefusalReason.OVERLOADED,
+                    RefusalReason.NO_TARGET,
+                }
+
+        run_virtually(run)
+
+    def test_cancelled_call_keeps_its_slot_for_a_moment(self):
+        """Guards against a call that starts before the target stopped the last."""
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                bench = Bench(tasks)
+                await bench.call("cancel", 0.1)
+                assert bench.admission.report().in_use == 1
+                await anyio.sleep(2 * CANCEL_GRACE_S)
+                assert bench.admission.report().in_use == 0
+
+        run_virtually(run)
+
+
+class TestTarget:
+    def test_connections_bound_the_limit(self):
+        """Guards against more loopback connections than the target accepts."""
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                bench = Bench(tasks, connections=2)
+                async with anyio.create_task_group() as group:
+                    for _ in range(8):
+                        group.start_soon(bench.call, "answer", 0.1)
+                assert bench.peak <= 2
+
+        run_virtually(run)
+
+    @pytest.mark.parametrize("gone", [True, False])
+    def test_target_that_was_gone_starts_cold(self, gone: bool):
+        """Guards against full load on a target that has just restarted."""
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                bench = Bench(tasks)
+                for _ in range(400):
+                    bench.announce()
+                    async with anyio.create_task_group() as group:
+                        for _ in range(SLOTS):
+                            group.start_soon(bench.call, "answer", 0.1)
+                before = bench.admission.report().limit
+                if gone:
+                    bench.target.forget()
+                bench.announce()
+                await bench.call("answer", 0.1)
+                expected = SLOTS // 2 if gone else before
+                assert bench.admission.report().limit == expected
+
+        run_virtually(run)
