--- a/packages/endivebeam-node/src/endivebeam_node/_calls.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_calls.py
@@ -1,7 +1,5 @@
 """The call path: from an entry or nested call to the target that runs it."""
 
-import time
-
 import anyio
 import msgspec
 
@@ -21,6 +19,7 @@
     StreamLostError,
 )
 
+from ._clock import read_clock
 from ._outcomes import NO_LOAD, RETRY_AFTER_S, observe_outcome, refuse
 from ._peers import Peers, UnreachableError
 from ._ports import (
@@ -69,7 +68,7 @@
         a credit, at most ``MAX_MOVES`` times. A retry costs one credit and one
         retry of the service's budget.
         """
-        started = time.monotonic()
+        started = read_clock()
         self._budgets.of(call.service).note_call(started)
         member = self._choose(call.service, frozenset())
         if member is None:
@@ -78,7 +77,7 @@
         moves = 0
         uncertain: CallRefused | None = None
         while True:
-            left = call.timeout_ms - round((time.monotonic() - started) * 1000)
+            left = call.timeout_ms - round((read_clock() - started) * 1000)
             if left <= 0:
                 refused = refuse(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed")
                 return _worst(refused, uncertain)
@@ -108,7 +107,7 @@
     def _take_retry(self, call: CallRequest, outcome: CallRefused) -> bool:
         if not _may_retry(call, outcome):
             return False
-        return self._budgets.of(call.service).take_retry(time.monotonic())
+        return self._budgets.of(call.service).take_retry(read_clock())
 
     async def serve(self, call: CallRequest) -> Outcome:
         """Run a call on the target beside this node."""
@@ -145,14 +144,14 @@
         )
 
     async def _attempt(self, member: Member, call: CallRequest) -> Outcome:
-        started = time.monotonic()
+        started = read_clock()
         observation = Observation()
         try:
             if member.node_id == self._local:
                 outcome = await self.serve(call)
             else:
                 outcome = await self._ask_peer(member, call)
-            observation = observe_outcome(outcome, time.monotonic() - started)
+            observation = observe_outcome(outcome, read_clock() - started)
             return outcome
         finally:
             # Also when the caller is gone, so that the call is not counted forever.
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -140,6 +140,7 @@
             target=self.target,
             in_flight=self.in_flight,
             report_load=self.admission.report,
+            measure=self.admission.measure,
         )
         # Call records have their own connections, so that many slow claims
         # cannot keep leases and configuration from the store.
@@ -162,7 +163,7 @@
             choose=self.routes.choose,
             observe=self.routes.observe,
             admit=self.admission.admit,
-            forward=self.admission.watch(self.forwarder.forward),
+            forward=self.forwarder.forward,
             run_once=self.once.run,
             budgets=RetryBudgets(),
         )
--- a/packages/endivebeam-node/src/endivebeam_node/_forward.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_forward.py
@@ -1,7 +1,5 @@
 """Sends admitted calls to the target beside this node."""
 
-import time
-
 import anyio
 import anyio.abc
 
@@ -19,10 +17,11 @@
 from endivebeam_model import RefusalReason, RunStatus
 from endivebeam_wire import CallAnswer, CallRequest, Header
 
+from ._clock import read_clock
 from ._inflight import Context, InFlight
 from ._logs import call_logger
 from ._outcomes import RETRY_AFTER_S, refuse
-from ._ports import Outcome, ReportLoad
+from ._ports import Measure, Outcome, ReportLoad
 from ._targets import Announcement, LocalTarget
 
 CONTEXT_FIELD = b"endivebeam-context"
@@ -39,16 +38,18 @@
         target: LocalTarget,
         in_flight: InFlight,
         report_load: ReportLoad,
+        measure: Measure,
     ) -> None:
         self._target = target
         self._in_flight = in_flight
         self._report_load = report_load
+        self._measure = measure
         self._pool: ClientPool | None = None
         self._pool_port = 0
 
     async def forward(self, call: CallRequest) -> Outcome:
         """Send a call to the target and return its outcome."""
-        announcement = self._target.current(time.monotonic())
+        announcement = self._target.current(read_clock())
         if announcement is None or announcement.service != call.service:
             return refuse(
                 RefusalReason.NO_TARGET,
@@ -57,14 +58,17 @@
                 credits=call.retry_credits,
             )
         pool = self._pool_for(announcement)
-        deadline = time.monotonic() + call.timeout_ms / 1000
-        context = self._in_flight.open(call, deadline)
+        opened = read_clock()
+        context = self._in_flight.open(call, opened + call.timeout_ms / 1000)
+        outcome: Outcome | None = None
         try:
-            return await self._exchange(pool, call, context)
+            outcome = await self._exchange(pool, call, context)
+            return outcome
         except anyio.get_cancelled_exc_class():
             context.cancel_nested()
             raise
         finally:
+            self._measure(context, opened, outcome)
             self._in_flight.close(context)
 
     async def _exchange(
--- a/packages/endivebeam-node/src/endivebeam_node/_nested.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_nested.py
@@ -1,7 +1,6 @@
 """The local port: announcements of the target and its outgoing calls."""
 
 import hashlib
-import time
 from collections.abc import Callable
 
 import anyio
@@ -33,6 +32,7 @@
     resolve_route,
 )
 from ._calls import CallPath
+from ._clock import read_clock
 from ._config import ConfigCopy
 from ._forward import CONTEXT_FIELD
 from ._inflight import Context, InFlight
@@ -74,7 +74,7 @@
             return refusal_response(error.refusal)
 
     def _announce(self, request: Request) -> Response:
-        match self._target.announce(request.body, time.monotonic()):
+        match self._target.announce(request.body, read_clock()):
             case Success(announcement):
                 self._on_announcement(announcement)
                 return Response(status=204)
@@ -129,11 +129,11 @@
     async def _route_below(self, context: Context, call: CallRequest) -> Outcome:
         outcome: Outcome | None = None
         with anyio.CancelScope() as scope:
-            context.scopes.add(scope)
+            context.enter_nested(scope, read_clock())
             try:
                 outcome = await self._calls.route(call)
             finally:
-                context.scopes.discard(scope)
+                context.leave_nested(scope, read_clock())
                 if _has_failed(outcome):
                     context.failed.add(_digest_call(call))
         if outcome is None:
@@ -225,7 +225,7 @@
                 message=f"the call chain is deeper than {MAX_DEPTH} calls",
             )
         )
-    left_s = context.deadline - time.monotonic()
+    left_s = context.deadline - read_clock()
     timeout_s = min(left_s, read_timeout_s(request, route))
     return CallRequest(
         request_id=0,
--- a/packages/endivebeam-node/src/endivebeam_node/_routes.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_routes.py
@@ -1,7 +1,6 @@
 """Target choice on this node's clock, and the probes that routing asks for."""
 
 import random
-import time
 
 import anyio
 import anyio.abc
@@ -10,6 +9,7 @@
 from endivebeam_routing import Result, Router
 from endivebeam_wire import PeerStream
 
+from ._clock import read_clock
 from ._members import Members
 from ._peers import Peers
 from ._ports import Observation
@@ -43,11 +43,11 @@
         """Choose a node whose target serves a service, or None."""
         serving = self._members.serving(service)
         candidates = [m for m in serving if m.node_id not in excluded]
-        return self._router.choose(candidates, time.monotonic())
+        return self._router.choose(candidates, read_clock())
 
     def observe(self, node_id: NodeId, observation: Observation) -> None:
         """Take how a call to a chosen node ended."""
-        now = time.monotonic()
+        now = read_clock()
         if observation.unreachable:
             self._router.lose(node_id, now)
             return
@@ -60,24 +60,24 @@
     def lose(self, stream: PeerStream) -> None:
         """Take a stream that was reset or went silent."""
         if stream.remote is not None:
-            self._router.lose(stream.remote.node_id, time.monotonic())
+            self._router.lose(stream.remote.node_id, read_clock())
 
     async def run(self) -> None:
         """Probe lost targets until cancelled."""
         while True:
-            for member in self._router.probes_due(time.monotonic()):
+            for member in self._router.probes_due(read_clock()):
                 self._tasks.start_soon(self._probe, member)
             await anyio.sleep(PROBE_TICK_S)
 
     async def _probe(self, member: Member) -> None:
         hello = await self._peers.probe(member.address)
         answered = hello is not None and hello.node_id == member.node_id
-        now = time.monotonic()
+        now = read_clock()
         self._router.finish_probe(member.node_id, answered=answered, now=now)
 
     def _update(self, member: Member) -> None:
         serving = member.state is MemberState.SERVING
-        self._router.update(member, serving=serving, now=time.monotonic())
+        self._router.update(member, serving=serving, now=read_clock())
 
 
 def _result_of(observation: Observation) -> Result:
