--- /dev/null
+++ b/benchmarks/rate_shares.py
@@ -0,0 +1,314 @@
+"""Wrongful refusals and over-admission of rate shares, in virtual time.
+
+Compares the shares with an equal static split, with one central bucket and with
+an oracle (one bucket without latency or faults) on the same calls:
+
+    python -m benchmarks.rate_shares --seed 1 --repetitions 3
+
+``admitted`` is relative to the oracle. ``wrongful`` is the part of all calls that
+was refused although a bucket fed with the mechanism's own admissions had a token.
+``excess`` is by how much the fullest window exceeds rate x time + burst, as a part
+of the burst. Each cell shows the worst repetition.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Annotated
+
+import typer
+from loguru import logger
+
+from endivebeam_limits import LeaseTimes, ShareId
+from endivebeam_model import AccountId, Contract
+from endivebeam_standins.virtual_loop import VirtualLoop
+from endivebeam_standins.virtual_rates import StoreFault, VirtualFleet
+
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+START_S = 12.0
+FAULT_AT_S = 10.0
+STEADY_S = 30.0
+FAULT_S = 110.0
+LOAD = 0.9
+
+# A central bucket comes back after its lease, the margin and the settling time.
+CENTRAL_RECOVERY_S = 76.0
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Size of a fleet and its accounts."""
+
+    name: str
+    nodes_per_domain: int
+    one_way_s: float
+
+
+DEPLOYMENTS = (
+    Deployment("thistlegate", 5, 0.0015),
+    Deployment("opravna", 4, 0.001),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Where the calls enter, how many they are, and what fails."""
+
+    name: str
+    duration_s: float = STEADY_S
+    place: str = "spread"
+    surge: float = 1.0
+    crash: bool = False
+    outage: bool = False
+
+
+SCENARIOS = (
+    Scenario("spread over all nodes"),
+    Scenario("one node", place="one"),
+    Scenario("moves every second", place="moving"),
+    Scenario("one account at 5x", surge=5.0),
+    Scenario("store outage", duration_s=FAULT_S, outage=True),
+    Scenario("holder crash", duration_s=FAULT_S, crash=True),
+    Scenario("crash in outage", duration_s=FAULT_S, crash=True, outage=True),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One call: when, for which account and at which node."""
+
+    at: float
+    account: AccountId
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class Score:
+    """What a mechanism did with the calls."""
+
+    admitted: int
+    wrongful: float
+    excess: float
+
+
+def make_contracts() -> list[Contract]:
+    """Return three large and five small accounts."""
+    sizes = [100.0] * 3 + [5.0] * 5
+    return [
+        Contract(account=AccountId(f"account-{n}"), rate_per_s=size, burst=2 * size)
+        for n, size in enumerate(sizes)
+    ]
+
+
+def make_arrivals(
+    scenario: Scenario, contracts: Sequence[Contract], nodes: int, rng: random.Random
+) -> list[Arrival]:
+    """Return Poisson arrivals at 0.9 of each rate; one account may surge."""
+    arrivals = []
+    for contract in contracts:
+        rate = contract.rate_per_s * LOAD
+        if contract is contracts[0]:
+            rate *= scenario.surge
+        at = rng.expovariate(rate)
+        while at < scenario.duration_s:
+            place = {"one": 0, "moving": int(at) % nodes}
+            node = place.get(scenario.place, rng.randrange(nodes))
+            arrivals.append(Arrival(at, contract.account, node))
+            at += rng.expovariate(rate)
+    return sorted(arrivals, key=lambda arrival: arrival.at)
+
+
+class Ideal:
+    """One bucket without latency: the oracle and the measure of the others."""
+
+    def __init__(self, contract: Contract) -> None:
+        self._contract = contract
+        self._at = 0.0
+        self.level = contract.burst
+
+    def refill(self, at: float) -> None:
+        """Refill up to a time."""
+        self.level += self._contract.rate_per_s * max(0.0, at - self._at)
+        self.level = min(self.level, self._contract.burst)
+        self._at = max(self._at, at)
+
+    def take(self, at: float) -> bool:
+        """Take a token if there is one."""
+        self.refill(at)
+        if self.level < 1:
+            return False
+        self.level -= 1
+        return True
+
+
+def score(
+    contracts: Sequence[Contract], results: Sequence[tuple[float, AccountId, bool]]
+) -> Score:
+    """Judge decisions, given in any order as time, account and admission."""
+    ideals = {c.account: Ideal(c) for c in contracts}
+    bursts = {c.account: c.burst for c in contracts}
+    admitted = wrongful = 0
+    excess = 0.0
+    for at, account, ok in sorted(results):
+        ideal = ideals[account]
+        ideal.refill(at)
+        if ok:
+            admitted += 1
+            ideal.level -= 1
+            excess = max(excess, -ideal.level / bursts[account])
+        elif ideal.level >= 1:
+            wrongful += 1
+    return Score(admitted, wrongful / len(results), excess)
+
+
+def run_buckets(
+    contracts: Sequence[Contract],
+    arrivals: Sequence[Arrival],
+    *,
+    parts: int,
+    part_of: Callable[[Arrival], int | None],
+) -> Score:
+    """Play the calls against equal parts of each contract."""
+    buckets = {
+        (c.account, part): Ideal(
+            Contract(
+                account=c.account,
+                rate_per_s=c.rate_per_s / parts,
+                burst=c.burst / parts,
+            )
+        )
+        for c in contracts
+        for part in range(parts)
+    }
+    results = []
+    for arrival in arrivals:
+        part = part_of(arrival)
+        ok = part is not None and buckets[(arrival.account, part)].take(arrival.at)
+        results.append((arrival.at, arrival.account, ok))
+    return score(contracts, results)
+
+
+def run_shares(
+    deployment: Deployment,
+    scenario: Scenario,
+    contracts: Sequence[Contract],
+    arrivals: Sequence[Arrival],
+    seed: int,
+) -> tuple[Score, float]:
+    """Play the calls against the shares; also return asks per call."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    results: list[tuple[float, AccountId, bool]] = []
+
+    async def play() -> VirtualFleet:
+        fleet = VirtualFleet(
+            loop=loop,
+            domains=DOMAINS,
+            nodes_per_domain=deployment.nodes_per_domain,
+            groups=8,
+            times=LeaseTimes(),
+            seed=seed,
+            one_way_s=deployment.one_way_s,
+        )
+        for contract in contracts:
+            fleet.put_contract(contract)
+        await asyncio.sleep(START_S)
+        fleet.messages = 0
+        nodes = list(fleet.nodes.values())
+        share = ShareId(fleet.layout.group_of(contracts[0].account), 0)
+        victim = next(n for n in nodes if share in n.holder.held)
+
+        async def call(arrival: Arrival) -> None:
+            node = nodes[arrival.node]
+            if node.killed:
+                node = nodes[(arrival.node + 1) % len(nodes)]
+            refusal = await fleet.call(node, arrival.account)
+            results.append((loop.time() - START_S, arrival.account, refusal is None))
+
+        if scenario.crash:
+            loop.call_at(START_S + FAULT_AT_S, victim.kill)
+        if scenario.outage:
+            loop.call_at(START_S + FAULT_AT_S / 2, _set_down, fleet)
+        for arrival in arrivals:
+            await asyncio.sleep(max(0.0, START_S + arrival.at - loop.time()))
+            fleet.start_soon(call, arrival)
+        await asyncio.sleep(3.0)
+        return fleet
+
+    fleet = loop.run_until_complete(play())
+    asks = fleet.messages / len(arrivals)
+    fleet.stop()
+    loop.close()
+    return score(contracts, results), asks
+
+
+def _set_down(fleet: VirtualFleet) -> None:
+    fleet.table.fault = StoreFault.DOWN
+
+
+def central_part(scenario: Scenario) -> Callable[[Arrival], int | None]:
+    """Return the bucket choice of a central bucket, which a crash takes away."""
+
+    def choose(arrival: Arrival) -> int | None:
+        since = arrival.at - FAULT_AT_S
+        lost = scenario.crash and since >= 0
+        back = since >= CENTRAL_RECOVERY_S and not scenario.outage
+        return None if lost and not back else 0
+
+    return choose
+
+
+def run_scenario(
+    deployment: Deployment, scenario: Scenario, seed: int
+) -> tuple[dict[str, Score], float]:
+    """Return the scores of all mechanisms on the same calls."""
+    rng = random.Random(f"{seed}/{deployment.name}/{scenario.name}")
+    contracts = make_contracts()
+    nodes = deployment.nodes_per_domain * len(DOMAINS)
+    arrivals = make_arrivals(scenario, contracts, nodes, rng)
+    shares, asks = run_shares(deployment, scenario, contracts, arrivals, seed)
+    central = run_buckets(contracts, arrivals, parts=1, part_of=central_part(scenario))
+    return {
+        "oracle": run_buckets(contracts, arrivals, parts=1, part_of=lambda _: 0),
+        "shares": shares,
+        "split": run_buckets(
+            contracts, arrivals, parts=nodes, part_of=lambda a: a.node
+        ),
+        "central": central,
+    }, asks
+
+
+def describe(scores: Sequence[tuple[Score, Score]]) -> str:
+    """Return the worst figures of a mechanism beside the oracle's."""
+    admitted = min(s.admitted / oracle.admitted for s, oracle in scores)
+    wrongful = max(s.wrongful for s, _ in scores)
+    excess = max(s.excess for s, _ in scores)
+    return f"{admitted:6.3f} {wrongful:7.2%} {excess:6.1%}"
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="First seed.")] = 1,
+    repetitions: Annotated[int, typer.Option(help="Seeds to run.")] = 3,
+) -> None:
+    """Print the table of all deployments and scenarios."""
+    logger.remove()
+    head = f"{'admitted':>6} {'wrongful':>7} {'excess':>6}"
+    print(f"{'':34} {'shares':^23} | {'static split':^23} | {'central':^23} | asks")
+    print(f"{'':34} {head} | {head} | {head} | /call")
+    for deployment in DEPLOYMENTS:
+        for scenario in SCENARIOS:
+            runs = [
+                run_scenario(deployment, scenario, seed + n) for n in range(repetitions)
+            ]
+            cells = [
+                describe([(scores[kind], scores["oracle"]) for scores, _ in runs])
+                for kind in ("shares", "split", "central")
+            ]
+            asks = max(asks for _, asks in runs)
+            label = f"{deployment.name}, {scenario.name}"
+            print(f"{label:34} {' | '.join(cells)} | {asks:5.2f}", flush=True)
+
+
+if __name__ == "__main__":
+    typer.run(main)
