Guard the share layout, keep preferred holders incrementally, bound reports

A node whose settings divide contracts by another number of slots would grant too much; it now compares its layout with the one in the table and holds no share when they differ. The test fails without the comparison. Preferred holders were ranked over all members for each share; a joining or leaving node now costs one hash per share. A draining node keeps its shares while the store is down, because nobody could take them.

--- a/packages/endivebeam-limits/src/endivebeam_limits/__init__.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/__init__.py
@@ -3,7 +3,13 @@
 from ._bucket import GRANT_LIFE_S, GRANT_VALIDITY_S, Bucket, BucketState
 from ._grants import GrantCache, HolderKey, Report
 from ._leases import HolderLease, LeaseTimes, Surroundings, TakeoverWatch
-from ._placement import Candidate, ShareId, ShareLayout, rank_holders
+from ._placement import (
+    Candidate,
+    PreferredHolders,
+    ShareId,
+    ShareLayout,
+    rank_holders,
+)
 from ._shares import GrantAnswer, GrantStatus, HeldShare
 
 __all__ = [
@@ -19,6 +25,7 @@
     "HolderKey",
     "HolderLease",
     "LeaseTimes",
+    "PreferredHolders",
     "Report",
     "ShareId",
     "ShareLayout",
--- a/packages/endivebeam-limits/src/endivebeam_limits/_bucket.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_bucket.py
@@ -78,7 +78,8 @@
         than a quarter of the burst.
         """
         self.advance(now)
-        if need <= 0 or self.level < need - TOKEN_EPSILON:
+        # Written so that a value that is not a number grants nothing.
+        if not 0 < need <= want or self.level < need - TOKEN_EPSILON:
             return 0.0
         most = min(want, self.level, max(need, self.burst * MAX_GRANT_FRACTION))
         tokens = need + max(0, math.floor(most - need + TOKEN_EPSILON))
--- a/packages/endivebeam-limits/src/endivebeam_limits/_grants.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_grants.py
@@ -16,6 +16,7 @@
 # Part of a bucket's burst whose spending is reported without delay, because
 # unreported tokens keep a small bucket from refilling.
 REPORT_FRACTION = 0.125
+MAX_REPORTS = 512
 
 
 class HolderKey(msgspec.Struct, frozen=True):
@@ -143,6 +144,7 @@
     def reports(self, holder: HolderKey) -> list[Report]:
         """Return what this holder has not been told, and count it as told.
 
+        At most ``MAX_REPORTS`` at once; the others stay due.
         Reports are totals, so a report that is lost is repaired by the next
         one of the same grant or by the expiry of the grant.
         """
@@ -152,6 +154,8 @@
                 lot.reported = lot.spent + lot.returned
                 lot.changed_at = math.inf
                 found.append(Report(lot.grant_id, lot.spent, lot.returned))
+            if len(found) >= MAX_REPORTS:
+                break
         self._lots = [
             lot
             for lot in self._lots
--- a/packages/endivebeam-limits/src/endivebeam_limits/_placement.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_placement.py
@@ -64,12 +64,65 @@
     live nodes when that domain has none: a node that joins or leaves moves
     only the shares that it gains or held.
     """
+    ids = _pool(share, layout, list(live))
+    return sorted(ids, key=lambda node_id: _weigh(share, node_id), reverse=True)
+
+
+class PreferredHolders:
+    """The preferred holder of shares, kept up to date as members change.
+
+    Equal to the first of ``rank_holders``. One node that joins or leaves costs
+    one hash per share that it can hold, not one per share and node.
+    """
+
+    def __init__(self, *, layout: ShareLayout) -> None:
+        self._layout = layout
+        self._live: dict[NodeId, DomainName] = {}
+        self._best: dict[ShareId, NodeId] = {}
+
+    def update(self, live: Iterable[Candidate]) -> None:
+        """Take the live nodes that can hold shares."""
+        new = {c.node_id: c.domain for c in live}
+        old, self._live = self._live, new
+        if new == old:
+            return
+        filled = set(old.values()) ^ set(new.values())
+        joined = [(n, d) for n, d in new.items() if old.get(n) != d]
+        left = {n for n, d in old.items() if new.get(n) != d}
+        for share, best in list(self._best.items()):
+            domain = self._layout.domains[share.slot]
+            if domain in filled or best in left:
+                del self._best[share]
+                continue
+            everywhere = domain not in new.values()
+            ids = [n for n, d in joined if everywhere or d == domain]
+            self._best[share] = max([best, *ids], key=lambda n: _weigh(share, n))
+
+    def get(self, share: ShareId) -> NodeId | None:
+        """Return the preferred holder of a share, None when no node is live."""
+        if share not in self._best:
+            live = [Candidate(n, d) for n, d in self._live.items()]
+            ids = _pool(share, self._layout, live)
+            if not ids:
+                return None
+            self._best[share] = max(ids, key=lambda n: _weigh(share, n))
+        return self._best[share]
+
+    def has_nodes(self, domain: DomainName) -> bool:
+        """Return whether a domain has a live node."""
+        return domain in self._live.values()
+
+
+def _pool(
+    share: ShareId, layout: ShareLayout, live: Sequence[Candidate]
+) -> Sequence[NodeId]:
     domain = layout.domains[share.slot]
-    nodes = list(live)
-    local = [c.node_id for c in nodes if c.domain == domain]
-    ids = local or [c.node_id for c in nodes]
-    salt = f"{share.group}/{share.slot}/"
-    return sorted(ids, key=lambda node_id: _hash(salt + node_id), reverse=True)
+    local = [c.node_id for c in live if c.domain == domain]
+    return local or [c.node_id for c in live]
+
+
+def _weigh(share: ShareId, node_id: NodeId) -> int:
+    return _hash(f"{share.group}/{share.slot}/{node_id}")
 
 
 def _hash(text: str) -> int:
--- a/packages/endivebeam-limits/tests/test_leases.py
+++ b/packages/endivebeam-limits/tests/test_leases.py
@@ -2,6 +2,9 @@
 
 import itertools
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from endivebeam_limits import (
     BucketState,
     Candidate,
@@ -9,6 +12,7 @@
     HeldShare,
     HolderLease,
     LeaseTimes,
+    PreferredHolders,
     ShareId,
     ShareLayout,
     Surroundings,
@@ -175,3 +179,17 @@
         layout = ShareLayout(groups=1, domains=DOMAINS)
         nodes = [Candidate(NodeId("b-0"), B), Candidate(NodeId("c-0"), C)]
         assert set(rank_holders(ShareId(0, 0), layout, nodes)) == {"b-0", "c-0"}
+
+    @given(
+        steps=st.lists(st.sets(st.integers(0, 8), max_size=9), min_size=1, max_size=8)
+    )
+    def test_kept_preferences_equal_the_ranking(self, steps: list[set[int]]):
+        """Guards against a preferred holder that is stale after a change."""
+        layout = ShareLayout(groups=4, domains=DOMAINS)
+        kept = PreferredHolders(layout=layout)
+        for numbers in steps:
+            live = [Candidate(NodeId(f"n{n}"), DOMAINS[n % 3]) for n in numbers]
+            kept.update(live)
+            for share in layout.shares()[:: len(steps) % 2 + 1]:
+                ranked = rank_holders(share, layout, live)
+                assert kept.get(share) == (ranked[0] if ranked else None)
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -315,10 +315,15 @@
     async def _run_once(self, call: CallRequest, forward: Forward) -> Outcome:
         return await forward(call)
 
+    def _find_live(self, node_id: NodeId) -> Member | None:
+        live = self.members.live()
+        return next((m for m in live if m.node_id == node_id), None)
+
     def _fleet_view(self) -> FleetView:
         return FleetView(
             local=lambda: self.members.local,
             live=self.members.live,
+            find=self._find_live,
             contact_ages=self.contacts.domain_ages,
             store_age=self.contacts.store_age,
         )
--- a/packages/endivebeam-node/src/endivebeam_node/_fleet_view.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_fleet_view.py
@@ -20,7 +20,8 @@
 class FleetView(msgspec.Struct, frozen=True, kw_only=True):
     """Functions that membership provides.
 
-    ``live`` lists the other live nodes, ``local`` returns the own record.
+    ``live`` lists the other live nodes, ``find`` returns the record of one of
+    them, ``local`` the own record.
     ``contact_ages`` has the age of the latest contact with each domain,
     counted from before the heartbeat was sent; ``store_age`` is the age of the
     latest evidence that the store answered anyone. Ages are in seconds.
@@ -28,16 +29,10 @@
 
     local: Callable[[], Member]
     live: Callable[[], Sequence[Member]]
+    find: Callable[[NodeId], Member | None]
     contact_ages: Callable[[], Mapping[DomainName, float]]
     store_age: Callable[[], float | None]
 
-    def find(self, node_id: NodeId) -> Member | None:
-        """Return the record of another live node."""
-        for member in self.live():
-            if member.node_id == node_id:
-                return member
-        return None
-
     def candidates(self) -> list[Candidate]:
         """Return the nodes that may hold shares, this one included."""
         return [
--- a/packages/endivebeam-node/src/endivebeam_node/_holder.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_holder.py
@@ -33,6 +33,7 @@
 from endivebeam_wire import (
     AskGrant,
     BucketLevel,
+    FrameError,
     Grant,
     HandOverShare,
     ShareTaken,
@@ -60,7 +61,9 @@
 
     ``token`` is random per process start and identifies the holder in rows and
     grants, because a restarted node has the same id and incarnation.
-    ``known`` names the holders of other shares that this node has seen.
+    ``known`` names the holders of other shares that this node has seen. No
+    share is held until ``layout_confirmed``, because a holder that divides
+    contracts by another number of slots would grant too much.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         self.known: dict[ShareId, NodeId] = {}
         self.writing = anyio.Lock()
         self.draining = False
+        self.layout_confirmed = False
         self._table = table
         self._ask = ask
         self._contracts = contracts
@@ -204,7 +208,7 @@
         """Take a share that its holder hands over, if the row can be written."""
         share_id = ShareId(message.group, message.slot)
         taken = False
-        if not self.draining:
+        if self.layout_confirmed and not self.draining:
             since = None
             if message.age_ms >= 0:
                 since = self.clock() - message.age_ms / 1000
@@ -280,4 +284,9 @@
                 reply = await self._ask(member, build)
         except (UnreachableError, StreamLostError, StreamFullError, TimeoutError):
             return False
+        except FrameError as error:
+            logger.error(
+                "limits: share {} is too large to move: {}", share.share, error
+            )
+            return False
         return isinstance(reply, ShareTaken) and reply.taken
--- a/packages/endivebeam-node/src/endivebeam_node/_leases.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_leases.py
@@ -7,14 +7,21 @@
 from returns.result import Failure, Success
 
 from endivebeam_limits import (
-    Candidate,
     HeldShare,
+    PreferredHolders,
     ShareId,
     TakeoverWatch,
     rank_holders,
 )
 from endivebeam_model import NodeId
-from endivebeam_store import ShareConflict, StoredShare, Table, read_share
+from endivebeam_store import (
+    LayoutRecord,
+    ShareConflict,
+    StoredShare,
+    Table,
+    claim_layout,
+    read_share,
+)
 
 from ._holder import ShareHolder
 
@@ -37,8 +44,7 @@
         self._table = table
         self._watches: dict[ShareId, TakeoverWatch] = {}
         self._moves: dict[ShareId, tuple[NodeId, float]] = {}
-        self._candidates: list[Candidate] = []
-        self._preferred: dict[ShareId, NodeId] = {}
+        self._preferred = PreferredHolders(layout=holder.layout)
 
     async def run(self) -> None:
         """Renew, watch and move shares until cancelled."""
@@ -68,7 +74,10 @@
 
     async def watch(self) -> None:
         """Read the rows of shares that this node should hold; take vacant ones."""
-        wanted = set() if self._holder.draining else self._find_wanted()
+        if not self._holder.layout_confirmed:
+            await self._confirm_layout()
+        idle = self._holder.draining or not self._holder.layout_confirmed
+        wanted = set() if idle else self._find_wanted()
         for share_id in set(self._watches) - wanted:
             del self._watches[share_id]
         limiter = anyio.CapacityLimiter(MAX_READS)
@@ -81,8 +90,8 @@
         now = self._holder.clock()
         local = self._holder.view.local().node_id
         for share_id in list(self._holder.held):
-            preferred = self._prefer(share_id)
-            if preferred in (None, local):
+            preferred = self._preferred.get(share_id)
+            if preferred is None or preferred == local:
                 self._moves.pop(share_id, None)
                 continue
             node_id, since = self._moves.setdefault(share_id, (preferred, now))
@@ -93,14 +102,39 @@
                 await self._holder.hand_over(share_id, preferred)
 
     async def leave(self) -> None:
-        """Hand all shares over before a planned stop."""
+        """Hand all shares over before a planned stop.
+
+        Without the store nobody can take them, so this node keeps granting
+        until it ends.
+        """
         self._holder.draining = True
+        age = self._holder.view.store_age()
+        if age is None or age > self._holder.times.renew_s:
+            logger.warning("limits: the store is down; shares are not handed over")
+            return
         for share_id in list(self._holder.held):
             ranked = self._rank(share_id)
             for node_id in [n for n in ranked if self._holder.view.find(n)][:2]:
                 if await self._holder.hand_over(share_id, node_id):
                     break
 
+    async def _confirm_layout(self) -> None:
+        layout = self._holder.layout
+        own = LayoutRecord(groups=layout.groups, domains=layout.domains)
+        match await claim_layout(self._table, own):
+            case Success(stored) if stored == own:
+                self._holder.layout_confirmed = True
+            case Success(stored):
+                logger.error(
+                    "limits: this node holds no shares: its settings have {} groups "
+                    "and domains {}, the fleet has {} and {}; correct share_groups "
+                    "and domains",
+                    own.groups,
+                    own.domains,
+                    stored.groups,
+                    stored.domains,
+                )
+
     async def _renew_once(self, shares: Sequence[HeldShare], sent_at: float) -> bool:
         """Return whether another attempt is useful now."""
         writes = [
@@ -133,16 +167,20 @@
             self._holder.drop(share, stored.record.holder)
 
     def _find_wanted(self) -> set[ShareId]:
-        local = self._holder.view.local()
-        domains = self._holder.layout.domains
-        live = {c.domain for c in self._holder.view.candidates()}
+        holder = self._holder
+        local = holder.view.local()
+        self._preferred.update(holder.view.candidates())
+        slots = {
+            slot
+            for slot, domain in enumerate(holder.layout.domains)
+            if domain == local.domain or not self._preferred.has_nodes(domain)
+        }
         return {
             share_id
-            for share_id in self._holder.layout.shares()
-            if share_id not in self._holder.held
-            and (domains[share_id.slot] == local.domain)
-            | (domains[share_id.slot] not in live)
-            and self._prefer(share_id) == local.node_id
+            for share_id in holder.layout.shares()
+            if share_id.slot in slots
+            and share_id not in holder.held
+            and self._preferred.get(share_id) == local.node_id
         }
 
     async def _watch_share(
@@ -173,18 +211,6 @@
             case _:
                 watch.observe(now, None, around)
 
-    def _prefer(self, share_id: ShareId) -> NodeId | None:
-        candidates = self._holder.view.candidates()
-        if candidates != self._candidates:
-            self._candidates = candidates
-            self._preferred.clear()
-        if share_id not in self._preferred:
-            ranked = self._rank(share_id)
-            if not ranked:
-                return None
-            self._preferred[share_id] = ranked[0]
-        return self._preferred[share_id]
-
     def _rank(self, share_id: ShareId) -> Sequence[NodeId]:
         candidates = self._holder.view.candidates()
         return rank_holders(share_id, self._holder.layout, candidates)
--- a/packages/endivebeam-node/tests/test_rate_shares.py
+++ b/packages/endivebeam-node/tests/test_rate_shares.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from endivebeam_limits import GRANT_LIFE_S, LeaseTimes, ShareId
+from endivebeam_limits import GRANT_LIFE_S, LeaseTimes, ShareId, ShareLayout
 from endivebeam_model import AccountId, Contract, DomainName, RefusalReason
 from endivebeam_standins.virtual_loop import VirtualLoop
 from endivebeam_standins.virtual_rates import StoreFault, VirtualFleet, VirtualNode
@@ -379,3 +379,14 @@
             RefusalReason.OVERLOADED,
             RefusalReason.STORE_UNAVAILABLE,
         ]
+
+    def test_node_with_another_layout_holds_no_share(self, world: World):
+        """Guards against settings that divide contracts by fewer slots."""
+        node = world.holder(0)
+        node.kill()
+        layout = world.fleet.layout
+        world.fleet.layout = ShareLayout(groups=1, domains=DOMAINS[:1])
+        world.revive(node)
+        world.fleet.layout = layout
+        world.advance(100.0)
+        assert not world.fleet.nodes[node.member.node_id].holder.held
--- a/packages/endivebeam-standins/src/endivebeam_standins/virtual_rates.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/virtual_rates.py
@@ -156,6 +156,7 @@
             view=FleetView(
                 local=lambda: self.member,
                 live=lambda: fleet.live(self),
+                find=lambda node_id: fleet.find(self, node_id),
                 contact_ages=self.contacts.domain_ages,
                 store_age=self.contacts.store_age,
             ),
@@ -303,6 +304,11 @@
             and (other.stopped_at is None or now - other.stopped_at < DETECTION_S)
         ]
 
+    def find(self, node: VirtualNode, node_id: NodeId) -> Member | None:
+        """Return the record of another member that a node believes alive."""
+        live = self.live(node)
+        return next((m for m in live if m.node_id == node_id), None)
+
     def connected(self, a: VirtualNode, b: VirtualNode) -> bool:
         """Return whether messages pass between two nodes."""
         if a.domain == b.domain:
--- a/packages/endivebeam-store/src/endivebeam_store/__init__.py
+++ b/packages/endivebeam-store/src/endivebeam_store/__init__.py
@@ -16,10 +16,12 @@
 from ._seeds import SEEDS_PER_DOMAIN, Seed, read_seeds, write_seed
 from ._shares import (
     SHARE_PREFIX,
+    LayoutRecord,
     ShareConflict,
     ShareRecord,
     ShareWrite,
     StoredShare,
+    claim_layout,
     read_share,
     share_key,
     write_shares,
@@ -36,6 +38,7 @@
     "Conflict",
     "HttpObjects",
     "HttpTable",
+    "LayoutRecord",
     "Put",
     "Row",
     "Seed",
@@ -46,6 +49,7 @@
     "Table",
     "Transaction",
     "Unavailable",
+    "claim_layout",
     "read_seeds",
     "read_share",
     "share_key",
--- a/packages/endivebeam-store/src/endivebeam_store/_shares.py
+++ b/packages/endivebeam-store/src/endivebeam_store/_shares.py
@@ -1,11 +1,12 @@
 """Share rows: which process holds which share of a group's rates."""
 
+import secrets
 from collections.abc import Awaitable, Callable, Sequence
 
 import msgspec
 from returns.result import Failure, Result, Success
 
-from endivebeam_model import NodeId, OperationId
+from endivebeam_model import DomainName, NodeId, OperationId
 
 from ._rows import (
     CommitError,
@@ -20,11 +21,19 @@
 )
 
 SHARE_PREFIX = "share/"
+LAYOUT_KEY = "share-layout"
 
 Commit = Callable[[Transaction], Awaitable[Result[Committed, CommitError]]]
 """Applies a transaction to the table, directly or through another node."""
 
 
+class LayoutRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Numbers of groups and slots of the fleet, written by its first node."""
+
+    groups: int
+    domains: tuple[DomainName, ...]
+
+
 class ShareRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Value of a share row.
 
@@ -83,6 +92,37 @@
     return answer.bind(_decode_optional)
 
 
+async def claim_layout(
+    table: Table, layout: LayoutRecord
+) -> Result[LayoutRecord, Unavailable]:
+    """Return the layout of the fleet; write this one if there is none yet."""
+    answer = await table.read(LAYOUT_KEY)
+    match answer:
+        case Success(Row(value=value)):
+            return _decode_layout(value)
+        case Failure(error):
+            return Failure(error)
+    op_id = OperationId(secrets.token_hex(12))
+    transaction = Transaction(
+        op_id=op_id,
+        conditions=(Condition(key=LAYOUT_KEY, version=0),),
+        puts=(Put(key=LAYOUT_KEY, value=msgspec.json.encode(layout).decode()),),
+    )
+    match await table.commit(transaction):
+        case Success(_):
+            return Success(layout)
+        case Failure(Unavailable() as error):
+            return Failure(error)
+    return Failure(Unavailable(message="another node wrote the layout first"))
+
+
+def _decode_layout(value: str) -> Result[LayoutRecord, Unavailable]:
+    try:
+        return Success(msgspec.json.decode(value, type=LayoutRecord))
+    except msgspec.DecodeError as error:
+        return Failure(Unavailable(message=f"malformed share layout: {error}"))
+
+
 async def write_shares(
     commit: Commit, writes: Sequence[ShareWrite], op_id: OperationId
 ) -> Result[Committed, ShareError]:
