--- a/packages/endivebeam-limits/src/endivebeam_limits/_placement.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_placement.py
@@ -1,7 +1,7 @@
 """Which share an account belongs to and which node should hold a share."""
 
 import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 import msgspec
 
@@ -60,69 +60,68 @@
 ) -> Sequence[NodeId]:
     """Return the nodes that should hold a share, the preferred one first.
 
-    Rendezvous hashing over the live nodes of the slot's domain, or over all
-    live nodes when that domain has none: a node that joins or leaves moves
-    only the shares that it gains or held.
+    Rendezvous hashing over the live nodes of the slot's domain: a node that
+    joins or leaves moves only the shares that it gains or held. When that domain
+    has no live node, another domain is chosen by the same hashing.
     """
-    ids = _pool(share, layout, list(live))
+    domains: dict[DomainName, list[NodeId]] = {}
+    for candidate in live:
+        domains.setdefault(candidate.domain, []).append(candidate.node_id)
+    domain = _choose_domain(share, layout, domains)
+    ids = domains.get(domain, [])
     return sorted(ids, key=lambda node_id: _weigh(share, node_id), reverse=True)
 
 
 class PreferredHolders:
-    """The preferred holder of shares, kept up to date as members change.
+    """Preferred holders of the shares that the nodes of one domain should hold.
 
-    Equal to the first of ``rank_holders``. One node that joins or leaves costs
-    one hash per share that it can hold, not one per share and node.
+    Equal to the first of ``rank_holders``, but a node that joins or leaves costs
+    one hash per share and not one per share and node.
     """
 
-    def __init__(self, *, layout: ShareLayout) -> None:
+    def __init__(self, *, layout: ShareLayout, domain: DomainName) -> None:
         self._layout = layout
-        self._live: dict[NodeId, DomainName] = {}
+        self._domain = domain
+        self._nodes: set[NodeId] = set()
+        self._domains: set[DomainName] = set()
         self._best: dict[ShareId, NodeId] = {}
 
-    def update(self, live: Iterable[Candidate]) -> None:
-        """Take the live nodes that can hold shares."""
-        new = {c.node_id: c.domain for c in live}
-        old, self._live = self._live, new
-        if new == old:
-            return
-        filled = set(old.values()) ^ set(new.values())
-        joined = [(n, d) for n, d in new.items() if old.get(n) != d]
-        left = {n for n, d in old.items() if new.get(n) != d}
+    def update(self, nodes: set[NodeId], domains: set[DomainName]) -> None:
+        """Take the live nodes of the domain and the domains with live nodes."""
+        self._domains = domains
+        joined = nodes - self._nodes
+        left = self._nodes - nodes
+        self._nodes = nodes
         for share, best in list(self._best.items()):
-            domain = self._layout.domains[share.slot]
-            if domain in filled or best in left:
+            if best in left:
                 del self._best[share]
-                continue
-            everywhere = domain not in new.values()
-            ids = [n for n, d in joined if everywhere or d == domain]
-            self._best[share] = max([best, *ids], key=lambda n: _weigh(share, n))
+            elif joined:
+                self._best[share] = max([best, *joined], key=lambda n: _weigh(share, n))
+
+    def covers(self, share: ShareId) -> bool:
+        """Return whether nodes of this domain should hold a share."""
+        return _choose_domain(share, self._layout, self._domains) == self._domain
 
     def get(self, share: ShareId) -> NodeId | None:
-        """Return the preferred holder of a share, None when no node is live."""
+        """Return the preferred holder of a share that is covered."""
+        if not self._nodes or not self.covers(share):
+            return None
         if share not in self._best:
-            live = [Candidate(n, d) for n, d in self._live.items()]
-            ids = _pool(share, self._layout, live)
-            if not ids:
-                return None
-            self._best[share] = max(ids, key=lambda n: _weigh(share, n))
+            self._best[share] = max(self._nodes, key=lambda n: _weigh(share, n))
         return self._best[share]
 
-    def has_nodes(self, domain: DomainName) -> bool:
-        """Return whether a domain has a live node."""
-        return domain in self._live.values()
-
 
-def _pool(
-    share: ShareId, layout: ShareLayout, live: Sequence[Candidate]
-) -> Sequence[NodeId]:
-    domain = layout.domains[share.slot]
-    local = [c.node_id for c in live if c.domain == domain]
-    return local or [c.node_id for c in live]
+def _choose_domain(
+    share: ShareId, layout: ShareLayout, domains: Collection[DomainName]
+) -> DomainName:
+    own = layout.domains[share.slot]
+    if own in domains or not domains:
+        return own
+    return max(domains, key=lambda domain: _weigh(share, domain))
 
 
-def _weigh(share: ShareId, node_id: NodeId) -> int:
-    return _hash(f"{share.group}/{share.slot}/{node_id}")
+def _weigh(share: ShareId, name: str) -> int:
+    return _hash(f"{share.group}/{share.slot}/{name}")
 
 
 def _hash(text: str) -> int:
--- a/packages/endivebeam-node/src/endivebeam_node/_fleet_view.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_fleet_view.py
@@ -17,6 +17,13 @@
 """
 
 
+class LiveNodes(msgspec.Struct, frozen=True, kw_only=True):
+    """Nodes of the own domain that may hold shares, and domains that have any."""
+
+    nodes: set[NodeId]
+    domains: set[DomainName]
+
+
 class FleetView(msgspec.Struct, frozen=True, kw_only=True):
     """Functions that membership provides.
 
@@ -40,3 +47,15 @@
             for m in [*self.live(), self.local()]
             if m.state in _CANDIDATE_STATES
         ]
+
+    def scan(self) -> LiveNodes:
+        """Return the candidates of the own domain and the domains with any."""
+        local = self.local()
+        nodes: set[NodeId] = set()
+        domains: set[DomainName] = set()
+        for member in [*self.live(), local]:
+            if member.state in _CANDIDATE_STATES:
+                domains.add(member.domain)
+                if member.domain == local.domain:
+                    nodes.add(member.node_id)
+        return LiveNodes(nodes=nodes, domains=domains)
--- a/packages/endivebeam-node/src/endivebeam_node/_leases.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_leases.py
@@ -44,7 +44,9 @@
         self._table = table
         self._watches: dict[ShareId, TakeoverWatch] = {}
         self._moves: dict[ShareId, tuple[NodeId, float]] = {}
-        self._preferred = PreferredHolders(layout=holder.layout)
+        self._preferred = PreferredHolders(
+            layout=holder.layout, domain=holder.view.local().domain
+        )
 
     async def run(self) -> None:
         """Renew, watch and move shares until cancelled."""
@@ -90,7 +92,7 @@
         now = self._holder.clock()
         local = self._holder.view.local().node_id
         for share_id in list(self._holder.held):
-            preferred = self._preferred.get(share_id)
+            preferred = self._prefer(share_id)
             if preferred is None or preferred == local:
                 self._moves.pop(share_id, None)
                 continue
@@ -169,17 +171,18 @@
     def _find_wanted(self) -> set[ShareId]:
         holder = self._holder
         local = holder.view.local()
-        self._preferred.update(holder.view.candidates())
-        slots = {
+        live = holder.view.scan()
+        self._preferred.update(live.nodes, live.domains)
+        slots = [
             slot
             for slot, domain in enumerate(holder.layout.domains)
-            if domain == local.domain or not self._preferred.has_nodes(domain)
-        }
+            if domain == local.domain or domain not in live.domains
+        ]
+        shares = [ShareId(g, s) for g in range(holder.layout.groups) for s in slots]
         return {
             share_id
-            for share_id in holder.layout.shares()
-            if share_id.slot in slots
-            and share_id not in holder.held
+            for share_id in shares
+            if share_id not in holder.held
             and self._preferred.get(share_id) == local.node_id
         }
 
@@ -211,6 +214,12 @@
             case _:
                 watch.observe(now, None, around)
 
+    def _prefer(self, share_id: ShareId) -> NodeId | None:
+        if self._preferred.covers(share_id):
+            return self._preferred.get(share_id)
+        # Held for a domain that had no live node and has one again.
+        return next(iter(self._rank(share_id)), None)
+
     def _rank(self, share_id: ShareId) -> Sequence[NodeId]:
         candidates = self._holder.view.candidates()
         return rank_holders(share_id, self._holder.layout, candidates)
