Keep buckets across a lowered and raised contract

Buckets are no longer dropped, and a share whose accounts are not known to be new creates all buckets when it is acquired.

--- a/packages/endivebeam-limits/src/endivebeam_limits/_bucket.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_bucket.py
@@ -125,11 +125,6 @@
         self.advance(now)
         return BucketState(level=self.level, outstanding=self.outstanding)
 
-    def is_full(self, now: float) -> bool:
-        """Return whether the bucket equals a new one that starts full."""
-        self.advance(now)
-        return not self._grants and self.level >= self.burst
-
     def advance(self, now: float) -> None:
         """Refill up to a time and drop the grants that end before it."""
         while self._grants:
--- a/packages/endivebeam-limits/src/endivebeam_limits/_shares.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_shares.py
@@ -12,6 +12,9 @@
 from ._leases import HolderLease, Surroundings
 from ._placement import ShareId
 
+# Buckets of removed contracts that a share keeps.
+MAX_REMOVED = 4096
+
 
 class GrantStatus(Enum):
     """How a holder answers a request for tokens.
@@ -39,8 +42,7 @@
 
     ``since`` is the time from which the accounts of this share are known to
     have received nothing but what these buckets granted; it is None when they
-    never received anything before. A bucket is created on first use with what
-    would have flowed in since then, so a new holder starts with empty buckets.
+    never received anything before. Then a new bucket starts full, else empty.
     """
 
     def __init__(
@@ -88,24 +90,19 @@
         )
 
     def adopt(self, contracts: Mapping[AccountId, Contract], now: float) -> None:
-        """Adopt changed contracts.
+        """Adopt the contracts of this share's group that are in force.
 
-        The bucket of a removed contract is kept until it is full again, so
-        that removing and writing a contract does not renew its burst.
+        Unless the accounts are known to be new, all buckets exist from now on,
+        so that each refills at the rates that were in force. Buckets of removed
+        contracts are kept, so that removing and writing a contract again does
+        not renew its burst.
         """
-        for account, bucket in list(self._buckets.items()):
-            contract = contracts.get(account)
-            if contract is not None:
+        removed = [a for a in self._buckets if a not in contracts]
+        for account in removed[: max(0, len(removed) - MAX_REMOVED)]:
+            del self._buckets[account]
+        for account, contract in contracts.items():
+            if self.since is not None or account in self._buckets:
                 self._bucket(contract, now)
-            elif bucket.is_full(now):
-                del self._buckets[account]
-
-    def drop_full(self, now: float) -> None:
-        """Forget buckets that equal new ones, which bounds the memory."""
-        for account, bucket in list(self._buckets.items()):
-            fresh = self._fresh_level(bucket.rate, bucket.burst, now)
-            if fresh >= bucket.burst and bucket.is_full(now):
-                del self._buckets[account]
 
     def export(self, now: float) -> dict[AccountId, BucketState]:
         """Return the buckets for a planned handover."""
@@ -140,11 +137,8 @@
         burst = contract.burst / self._slots
         bucket = self._buckets.get(contract.account)
         if bucket is None:
-            level = self._fresh_level(rate, burst, now)
+            level = burst if self.since is None else 0.0
             bucket = Bucket(rate=rate, burst=burst, level=level, now=now)
             self._buckets[contract.account] = bucket
         bucket.adopt(rate=rate, burst=burst, now=now)
         return bucket
-
-    def _fresh_level(self, rate: float, burst: float, now: float) -> float:
-        return burst if self.since is None else min(burst, rate * (now - self.since))
--- a/packages/endivebeam-limits/tests/test_leases.py
+++ b/packages/endivebeam-limits/tests/test_leases.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -141,8 +142,20 @@
     def test_new_holder_starts_empty_and_first_holder_full(self):
         """Guards against a second burst after a holder was lost."""
         assert self.ask(self.make(None), 10.0, 0.0) is GrantStatus.GRANTED
-        assert self.ask(self.make(0.0), 2.1, 2.0) is GrantStatus.DECLINED
-        assert self.ask(self.make(0.0), 2.0, 2.0) is GrantStatus.GRANTED
+        share = self.make(0.0)
+        share.adopt({CONTRACT.account: CONTRACT}, 0.0)
+        assert self.ask(share, 2.1, 2.0) is GrantStatus.DECLINED
+        assert self.ask(share, 2.0, 2.0) is GrantStatus.GRANTED
+
+    def test_lower_burst_does_not_make_a_bucket_count_as_full(self):
+        """Guards against a burst that lowering and raising a contract renews."""
+        share = self.make(None)
+        assert self.ask(share, 10.0, 0.0) is GrantStatus.GRANTED
+        lower = msgspec.structs.replace(CONTRACT, burst=0.3)
+        share.adopt({CONTRACT.account: lower}, 2.0)
+        share.adopt({CONTRACT.account: lower}, 3.0)
+        share.adopt({CONTRACT.account: CONTRACT}, 4.0)
+        assert self.ask(share, 1.0, 4.0) is GrantStatus.DECLINED
 
     def test_handover_keeps_outstanding_tokens_for_their_life(self):
         """Guards against refill of tokens that the old holder's grants hold."""
@@ -158,7 +171,6 @@
         share = self.make(None)
         assert self.ask(share, 10.0, 0.0) is GrantStatus.GRANTED
         share.adopt({}, 1.0)
-        share.drop_full(1.0)
         assert self.ask(share, 5.0, 1.0) is GrantStatus.DECLINED
 
 
--- a/packages/endivebeam-node/src/endivebeam_node/_holder.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_holder.py
@@ -139,7 +139,7 @@
         """Adopt the contracts that are in force now."""
         now = self.clock()
         for share in self.held.values():
-            share.adopt(self._contracts(), now)
+            share.adopt(self._group_contracts(share.share), now)
 
     def surroundings(self, now: float) -> Surroundings:
         """Return the ages of contact, at most a tenth of a second old."""
@@ -204,7 +204,9 @@
             b.account: BucketState(level=b.level, outstanding=b.outstanding)
             for b in buckets
         }
-        share.load(states, self._contracts(), self._grant_ids, self.clock())
+        contracts = self._group_contracts(share_id)
+        share.load(states, contracts, self._grant_ids, self.clock())
+        share.adopt(contracts, self.clock())
         self.held[share_id] = share
         logger.info("limits: holds share {} in epoch {}", share_id, epoch)
         return True
@@ -265,6 +267,13 @@
             ),
         )
 
+    def _group_contracts(self, share_id: ShareId) -> dict[AccountId, Contract]:
+        return {
+            account: contract
+            for account, contract in self._contracts().items()
+            if self.layout.group_of(account) == share_id.group
+        }
+
     async def _send_share(self, member: Member, share: HeldShare) -> bool:
         now = self.clock()
         buckets = [
--- a/packages/endivebeam-node/src/endivebeam_node/_leases.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_leases.py
@@ -148,7 +148,6 @@
                 for share in shares:
                     share.version += 1
                     share.lease.renew(sent_at)
-                    share.drop_full(sent_at)
                 return False
             case Failure(ShareConflict(current=current)):
                 self._resolve(current)
