--- a/packages/endivebeam-limits/src/endivebeam_limits/__init__.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/__init__.py
@@ -1,51 +1,15 @@
 """Rate shares, concurrency limits, admission queue and retry budgets."""
 
-from ._admission import (
-    Admission,
-    Changes,
-)
-from ._bucket import (
-    GRANT_LIFE_S,
-    GRANT_VALIDITY_S,
-    Bucket,
-    BucketState,
-)
-from ._concurrency import (
-    ConcurrencyLimit,
-)
-from ._fair_queue import (
-    FairQueue,
-)
-from ._grants import (
-    GrantCache,
-    HolderKey,
-    Report,
-)
-from ._leases import (
-    HolderLease,
-    LeaseTimes,
-    Surroundings,
-    TakeoverWatch,
-)
-from ._placement import (
-    Candidate,
-    ShareId,
-    ShareLayout,
-    rank_holders,
-)
-from ._retries import (
-    RetryBudget,
-    RetryBudgets,
-)
-from ._shares import (
-    GrantAnswer,
-    GrantStatus,
-    HeldShare,
-)
-from ._tickets import (
-    Ticket,
-    TicketState,
-)
+from ._admission import Admission, Changes
+from ._bucket import GRANT_LIFE_S, GRANT_VALIDITY_S, Bucket, BucketState
+from ._concurrency import ConcurrencyLimit
+from ._fair_queue import FairQueue
+from ._grants import GrantCache, HolderKey, Report
+from ._leases import HolderLease, LeaseTimes, Surroundings, TakeoverWatch
+from ._placement import Candidate, PreferredHolders, ShareId, ShareLayout, rank_holders
+from ._retries import RetryBudget, RetryBudgets
+from ._shares import GrantAnswer, GrantStatus, HeldShare
+from ._tickets import Ticket, TicketState
 
 __all__ = [
     "GRANT_LIFE_S",
@@ -64,6 +28,7 @@
     "HolderKey",
     "HolderLease",
     "LeaseTimes",
+    "PreferredHolders",
     "Report",
     "RetryBudget",
     "RetryBudgets",
--- a/packages/endivebeam-limits/src/endivebeam_limits/_bucket.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_bucket.py
@@ -78,7 +78,8 @@
         than a quarter of the burst.
         """
         self.advance(now)
-        if need <= 0 or self.level < need - TOKEN_EPSILON:
+        # Written so that a value that is not a number grants nothing.
+        if not 0 < need <= want or self.level < need - TOKEN_EPSILON:
             return 0.0
         most = min(want, self.level, max(need, self.burst * MAX_GRANT_FRACTION))
         tokens = need + max(0, math.floor(most - need + TOKEN_EPSILON))
@@ -124,11 +125,6 @@
         self.advance(now)
         return BucketState(level=self.level, outstanding=self.outstanding)
 
-    def is_full(self, now: float) -> bool:
-        """Return whether the bucket equals a new one that starts full."""
-        self.advance(now)
-        return not self._grants and self.level >= self.burst
-
     def advance(self, now: float) -> None:
         """Refill up to a time and drop the grants that end before it."""
         while self._grants:
--- a/packages/endivebeam-limits/tests/test_leases.py
+++ b/packages/endivebeam-limits/tests/test_leases.py
@@ -2,6 +2,10 @@
 
 import itertools
 
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
 from endivebeam_limits import (
     BucketState,
     Candidate,
@@ -9,6 +13,7 @@
     HeldShare,
     HolderLease,
     LeaseTimes,
+    PreferredHolders,
     ShareId,
     ShareLayout,
     Surroundings,
@@ -137,8 +142,20 @@
     def test_new_holder_starts_empty_and_first_holder_full(self):
         """Guards against a second burst after a holder was lost."""
         assert self.ask(self.make(None), 10.0, 0.0) is GrantStatus.GRANTED
-        assert self.ask(self.make(0.0), 2.1, 2.0) is GrantStatus.DECLINED
-        assert self.ask(self.make(0.0), 2.0, 2.0) is GrantStatus.GRANTED
+        share = self.make(0.0)
+        share.adopt({CONTRACT.account: CONTRACT}, 0.0)
+        assert self.ask(share, 2.1, 2.0) is GrantStatus.DECLINED
+        assert self.ask(share, 2.0, 2.0) is GrantStatus.GRANTED
+
+    def test_lower_burst_does_not_make_a_bucket_count_as_full(self):
+        """Guards against a burst that lowering and raising a contract renews."""
+        share = self.make(None)
+        assert self.ask(share, 10.0, 0.0) is GrantStatus.GRANTED
+        lower = msgspec.structs.replace(CONTRACT, burst=0.3)
+        share.adopt({CONTRACT.account: lower}, 2.0)
+        share.adopt({CONTRACT.account: lower}, 3.0)
+        share.adopt({CONTRACT.account: CONTRACT}, 4.0)
+        assert self.ask(share, 1.0, 4.0) is GrantStatus.DECLINED
 
     def test_handover_keeps_outstanding_tokens_for_their_life(self):
         """Guards against refill of tokens that the old holder's grants hold."""
@@ -154,7 +171,6 @@
         share = self.make(None)
         assert self.ask(share, 10.0, 0.0) is GrantStatus.GRANTED
         share.adopt({}, 1.0)
-        share.drop_full(1.0)
         assert self.ask(share, 5.0, 1.0) is GrantStatus.DECLINED
 
 
@@ -172,6 +188,23 @@
 
     def test_domain_without_nodes_is_served_by_others(self):
         """Guards against accounts that lose a share with its domain."""
-        layout = ShareLayout(groups=1, domains=DOMAINS)
+        layout = ShareLayout(groups=64, domains=DOMAINS)
         nodes = [Candidate(NodeId("b-0"), B), Candidate(NodeId("c-0"), C)]
-        assert set(rank_holders(ShareId(0, 0), layout, nodes)) == {"b-0", "c-0"}
+        found = {rank_holders(ShareId(g, 0), layout, nodes)[0] for g in range(64)}
+        assert found == {"b-0", "c-0"}
+
+    @given(
+        steps=st.lists(st.sets(st.integers(0, 8), max_size=9), min_size=1, max_size=8)
+    )
+    def test_kept_preferences_equal_the_ranking(self, steps: list[set[int]]):
+        """Guards against a preferred holder that is stale after a change."""
+        layout = ShareLayout(groups=4, domains=DOMAINS)
+        kept = PreferredHolders(layout=layout, domain=A)
+        for numbers in steps:
+            live = [Candidate(NodeId(f"n{n}"), DOMAINS[n % 3]) for n in numbers]
+            own = {c.node_id for c in live if c.domain == A}
+            kept.update(own, {c.domain for c in live})
+            for share in layout.shares()[:: len(steps) % 2 + 1]:
+                ranked = rank_holders(share, layout, live)
+                preferred = ranked[0] if ranked and ranked[0] in own else None
+                assert kept.get(share) == preferred
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -16,6 +16,7 @@
 
 from endivebeam_http import HttpServer
 from endivebeam_limits import RetryBudgets
+from endivebeam_membership import is_ended
 from endivebeam_model import (
     Address,
     DomainName,
@@ -356,10 +357,15 @@
     async def _ask_outcome(self, node_id: NodeId, op_id: OperationId) -> Known:
         return await ask_outcome(self.peers, self.members.find_address(node_id), op_id)
 
+    def _find_live(self, node_id: NodeId) -> Member | None:
+        member = self.members.get(node_id)
+        return None if member is None or is_ended(member) else member
+
     def _fleet_view(self) -> FleetView:
         return FleetView(
             local=lambda: self.members.local,
             live=self.members.live,
+            find=self._find_live,
             contact_ages=self.members.domain_ages,
             store_age=self.members.store_age,
         )
--- a/packages/endivebeam-node/src/endivebeam_node/_fleet_view.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_fleet_view.py
@@ -17,10 +17,18 @@
 """
 
 
+class LiveNodes(msgspec.Struct, frozen=True, kw_only=True):
+    """Nodes of the own domain that may hold shares, and domains that have any."""
+
+    nodes: set[NodeId]
+    domains: set[DomainName]
+
+
 class FleetView(msgspec.Struct, frozen=True, kw_only=True):
     """Functions that membership provides.
 
-    ``live`` lists the other live nodes, ``local`` returns the own record.
+    ``live`` lists the other live nodes, ``find`` returns the record of one of
+    them, ``local`` the own record.
     ``contact_ages`` has the age of the latest contact with each domain,
     counted from before the heartbeat was sent; ``store_age`` is the age of the
     latest evidence that the store answered anyone. Ages are in seconds.
@@ -28,16 +36,10 @@
 
     local: Callable[[], Member]
     live: Callable[[], Sequence[Member]]
+    find: Callable[[NodeId], Member | None]
     contact_ages: Callable[[], Mapping[DomainName, float]]
     store_age: Callable[[], float | None]
 
-    def find(self, node_id: NodeId) -> Member | None:
-        """Return the record of another live node."""
-        for member in self.live():
-            if member.node_id == node_id:
-                return member
-        return None
-
     def candidates(self) -> list[Candidate]:
         """Return the nodes that may hold shares, this one included."""
         return [
@@ -45,3 +47,15 @@
             for m in [*self.live(), self.local()]
             if m.state in _CANDIDATE_STATES
         ]
+
+    def scan(self) -> LiveNodes:
+        """Return the candidates of the own domain and the domains with any."""
+        local = self.local()
+        nodes: set[NodeId] = set()
+        domains: set[DomainName] = set()
+        for member in [*self.live(), local]:
+            if member.state in _CANDIDATE_STATES:
+                domains.add(member.domain)
+                if member.domain == local.domain:
+                    nodes.add(member.node_id)
+        return LiveNodes(nodes=nodes, domains=domains)
--- a/packages/endivebeam-node/src/endivebeam_node/_holder.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_holder.py
@@ -33,6 +33,7 @@
 from endivebeam_wire import (
     AskGrant,
     BucketLevel,
+    FrameError,
     Grant,
     HandOverShare,
     ShareTaken,
@@ -54,13 +55,19 @@
 # needs it.
 VIEW_AGE_S = 0.1
 
+# Grants carry half of the process token, which is enough to tell a process from
+# the one before it at the same address.
+GRANT_TOKEN_MASK = 0xFFFFFFFF
+
 
 class ShareHolder:
     """Shares in the memory of this node.
 
     ``token`` is random per process start and identifies the holder in rows and
     grants, because a restarted node has the same id and incarnation.
-    ``known`` names the holders of other shares that this node has seen.
+    ``known`` names the holders of other shares that this node has seen. No
+    share is held until ``layout_confirmed``, because a holder that divides
+    contracts by another number of slots would grant too much.
     """
 
     def __init__(
@@ -80,10 +87,12 @@
         self.view = view
         self.clock = clock
         self.token = rng.getrandbits(62) + 1
+        self.grant_token = self.token & GRANT_TOKEN_MASK
         self.held: dict[ShareId, HeldShare] = {}
         self.known: dict[ShareId, NodeId] = {}
         self.writing = anyio.Lock()
         self.draining = False
+        self.layout_confirmed = False
         self._table = table
         self._ask = ask
         self._contracts = contracts
@@ -106,7 +115,7 @@
             )
         if contract is None:
             return Grant(request_id=ask.request_id, status=GrantStatus.STOPPED.value)
-        reports = ask.reports if ask.token == self.token else []
+        reports = ask.reports if ask.token == self.grant_token else []
         now = self.clock()
         found = share.answer(
             contract,
@@ -121,16 +130,16 @@
             request_id=ask.request_id,
             status=found.status.value,
             grant_id=found.grant_id,
-            tokens=found.tokens,
+            tokens=shorten(found.tokens),
             level=found.level,
-            token=self.token,
+            token=self.grant_token,
         )
 
     def adopt(self) -> None:
         """Adopt the contracts that are in force now."""
         now = self.clock()
         for share in self.held.values():
-            share.adopt(self._contracts(), now)
+            share.adopt(self._group_contracts(share.share), now)
 
     def surroundings(self, now: float) -> Surroundings:
         """Return the ages of contact, at most a tenth of a second old."""
@@ -195,7 +204,9 @@
             b.account: BucketState(level=b.level, outstanding=b.outstanding)
             for b in buckets
         }
-        share.load(states, self._contracts(), self._grant_ids, self.clock())
+        contracts = self._group_contracts(share_id)
+        share.load(states, contracts, self._grant_ids, self.clock())
+        share.adopt(contracts, self.clock())
         self.held[share_id] = share
         logger.info("limits: holds share {} in epoch {}", share_id, epoch)
         return True
@@ -204,7 +215,7 @@
         """Take a share that its holder hands over, if the row can be written."""
         share_id = ShareId(message.group, message.slot)
         taken = False
-        if not self.draining:
+        if self.layout_confirmed and not self.draining:
             since = None
             if message.age_ms >= 0:
                 since = self.clock() - message.age_ms / 1000
@@ -256,6 +267,13 @@
             ),
         )
 
+    def _group_contracts(self, share_id: ShareId) -> dict[AccountId, Contract]:
+        return {
+            account: contract
+            for account, contract in self._contracts().items()
+            if self.layout.group_of(account) == share_id.group
+        }
+
     async def _send_share(self, member: Member, share: HeldShare) -> bool:
         now = self.clock()
         buckets = [
@@ -280,4 +298,15 @@
                 reply = await self._ask(member, build)
         except (UnreachableError, StreamLostError, StreamFullError, TimeoutError):
             return False
+        except FrameError as error:
+            logger.error(
+                "limits: share {} is too large to move: {}", share.share, error
+            )
+            return False
         return isinstance(reply, ShareTaken) and reply.taken
+
+
+def shorten(amount: float) -> float:
+    """Return a whole amount as an integer, which is shorter on the network."""
+    whole = int(amount)
+    return whole if whole == amount else amount
--- a/packages/endivebeam-store/src/endivebeam_store/__init__.py
+++ b/packages/endivebeam-store/src/endivebeam_store/__init__.py
@@ -22,13 +22,8 @@
     perform,
     release_steps,
 )
-from ._config_log import (
-    ConfigLog,
-)
-from ._objects import (
-    HttpObjects,
-    Objects,
-)
+from ._config_log import ConfigLog
+from ._objects import HttpObjects, Objects
 from ._rows import (
     CommitError,
     Committed,
@@ -40,25 +35,20 @@
     Transaction,
     Unavailable,
 )
-from ._seeds import (
-    SEEDS_PER_DOMAIN,
-    Seed,
-    read_seeds,
-    write_seed,
-)
+from ._seeds import SEEDS_PER_DOMAIN, Seed, read_seeds, write_seed
 from ._shares import (
     SHARE_PREFIX,
+    LayoutRecord,
     ShareConflict,
     ShareRecord,
     ShareWrite,
     StoredShare,
+    claim_layout,
     read_share,
     share_key,
     write_shares,
 )
-from ._table import (
-    HttpTable,
-)
+from ._table import HttpTable
 
 __all__ = [
     "SEEDS_PER_DOMAIN",
@@ -77,6 +67,7 @@
     "Found",
     "HttpObjects",
     "HttpTable",
+    "LayoutRecord",
     "Objects",
     "Put",
     "Read",
@@ -95,6 +86,7 @@
     "WriteObject",
     "answer_steps",
     "call_row_key",
+    "claim_layout",
     "claim_steps",
     "complete_steps",
     "decode_record",
