Write emergency withdrawals to the log when the store is back

A withdrawal accepted with durable false stayed out of the log until an operator repeated it, so that a restart of all nodes lost it.

The accepting node retries with the operator's name and operation id. One node per failure domain, the first live one of ring 0, does so too in case the accepting node is gone. A repeated withdrawal changes nothing.

Without the mechanism the tests fail: every node writes, no node writes for a lost one, and the author of the withdrawal is lost.

--- a/packages/endivebeam-node/src/endivebeam_node/_commits.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_commits.py
@@ -12,6 +12,7 @@
     ConfigVersion,
     Contract,
     Key,
+    KeyDigest,
     LogEntry,
     OperationId,
     Service,
@@ -26,6 +27,7 @@
 
 MAX_ATTEMPTS = 8
 MAX_CATCH_UP = 1000
+EMERGENCY_OPERATOR = "emergency"
 
 OnCommitted = Callable[[LogEntry], None]
 OnWithdrawn = Callable[[WithdrawKey], Awaitable[None]]
@@ -94,6 +96,7 @@
         self._log = log
         self._on_committed = on_committed
         self._on_withdrawn = on_withdrawn
+        self._pending: dict[KeyDigest, Asked] = {}
 
     async def commit(self, asked: Asked) -> CommitOutcome:
         """Commit a change once; the same operation id returns the first result.
@@ -109,10 +112,38 @@
             if ended is not None:
                 return ended
             outcome = await self._append(asked)
+            if isinstance(outcome, StoreDown):
+                return await self._without_store(asked, outcome.message)
             if outcome is not None:
                 return outcome
         return StoreDown("other changes came first each time; send the change again")
 
+    def accepted_here(self, digest: KeyDigest) -> bool:
+        """Return whether this node accepted a withdrawal without the store."""
+        return digest in self._pending
+
+    async def write_pending(self, digest: KeyDigest) -> bool:
+        """Write a withdrawal that is in force to the log; return whether it is.
+
+        Another node may write it too: a withdrawal that is repeated changes
+        nothing.
+        """
+        asked = self._pending.get(digest)
+        if asked is None:
+            asked = Asked(
+                op_id=OperationId(f"withdraw-{digest[:32]}"),
+                operator=EMERGENCY_OPERATOR,
+                change=WithdrawKey(digest=digest),
+            )
+        if await self._catch_up() is not None:
+            return False
+        if digest in self._config.pending():
+            outcome = await self._check(asked) or await self._append(asked)
+            if not isinstance(outcome, Accepted):
+                return False
+        self._pending.pop(digest, None)
+        return True
+
     async def _append(self, asked: Asked) -> CommitOutcome | None:
         answer = await self._log.append(
             change=asked.change,
@@ -132,7 +163,7 @@
                 )
                 return Accepted(entry)
             case Failure(Unavailable(message=message)):
-                return await self._without_store(asked, message)
+                return StoreDown(message)
             case Failure(Conflict()):
                 return None
         raise AssertionError("a result is a success or a failure")
@@ -186,7 +217,10 @@
         reasons = check_change(asked.change, self._config.snapshot)
         if reasons:
             return Refused(reasons)
-        await self._on_withdrawn(asked.change)
+        digest = asked.change.digest
+        if digest not in self._config.withdrawn:
+            await self._on_withdrawn(asked.change)
+        self._pending.setdefault(digest, asked)
         logger.warning(
             "config: {} withdrew key {} while the store is down ({})",
             asked.operator,
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -51,7 +51,9 @@
 from ._admin import build_admin_app
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
+from ._commits import Committer
 from ._config import ConfigCopy
+from ._emergency import EmergencyWriter
 from ._forward import TargetForwarder
 from ._gauges import add_gauges
 from ._inflight import InFlight
@@ -141,6 +143,15 @@
             in_flight=self.in_flight,
             on_announcement=self._on_announcement,
         )
+        self.committer = Committer(
+            config=self.config,
+            log=self.log,
+            on_committed=self._on_committed,
+            on_withdrawn=self._on_withdrawn,
+        )
+        self.emergency = EmergencyWriter(
+            config=self.config, committer=self.committer, members=self.members
+        )
         self._connections: set[ServerConnection] = set()
         add_gauges(
             self.metrics,
@@ -165,6 +176,7 @@
             servers.start_soon(peer.serve, self.peers.accept)
             servers.start_soon(self._serve_admin, admin)
             servers.start_soon(self.sync.run)
+            servers.start_soon(self.emergency.run)
             ports = Ports(
                 caller=_port_of(caller),
                 local=_port_of(local),
@@ -222,8 +234,7 @@
             config=self.config,
             members=self.members,
             log=self.log,
-            on_committed=self._on_committed,
-            on_withdrawn=self._on_withdrawn,
+            committer=self.committer,
             versions=self.versions,
             on_drain=self._stop.set,
             render_metrics=self.metrics.render,
--- a/packages/endivebeam-node/tests/test_admin.py
+++ b/packages/endivebeam-node/tests/test_admin.py
@@ -21,6 +21,7 @@
     ConfigVersion,
     Contract,
     DomainName,
+    KeyDigest,
     Member,
     MemberState,
     NodeId,
@@ -34,6 +35,7 @@
 from endivebeam_node._admin import build_admin_app
 from endivebeam_node._commits import Accepted, Asked, Changed, Committer, StoreDown
 from endivebeam_node._config import ConfigCopy
+from endivebeam_node._emergency import EmergencyWriter
 from endivebeam_node._endpoints import ENDPOINTS
 from endivebeam_node._members import Members
 from endivebeam_node._openapi import Endpoint, dump_openapi
@@ -102,6 +104,15 @@
         def count_drain() -> None:
             self.drains += 1
 
+        self.committer = Committer(
+            config=self.config,
+            log=self.log,
+            on_committed=lambda entry: self.config.apply([entry]),
+            on_withdrawn=withdraw,
+        )
+        self.emergency = EmergencyWriter(
+            config=self.config, committer=self.committer, members=self.members
+        )
         self.app = build_admin_app(
             operators=[
                 Operator(
@@ -114,8 +125,7 @@
             config=self.config,
             members=self.members,
             log=self.log,
-            on_committed=lambda entry: self.config.apply([entry]),
-            on_withdrawn=withdraw,
+            committer=self.committer,
             versions=self.versions,
             on_drain=count_drain,
         )
@@ -279,6 +289,32 @@
         assert digest in node.config.withdrawn
         assert node.change(put(), op_id="2", expected_version=0).status_code == 503
 
+    def test_withdrawal_reaches_the_log_when_the_store_is_back(
+        self, node: AdminNode, table: MemoryTable
+    ):
+        """Guards against a withdrawal that a restart of all nodes would lose."""
+        table.down = True
+        digest = "a" * 64
+        node.change({"type": "withdraw_key", "digest": digest})
+        anyio.run(node.emergency.write_pending)
+        assert node.send("GET", "/v1/status").json()["emergency_withdrawals"] == 1
+        table.down = False
+        anyio.run(node.emergency.write_pending)
+        assert node.send("GET", "/v1/status").json()["emergency_withdrawals"] == 0
+        (item,) = node.send("GET", "/v1/audit").json()["items"]
+        assert (item["operator"], item["op_id"]) == ("admin", "op")
+
+    @pytest.mark.parametrize(("names", "written"), [([], True), (["n1"], False)])
+    def test_one_node_of_a_domain_writes_for_a_lost_one(
+        self, node: AdminNode, table: MemoryTable, names: list[str], written: bool
+    ):
+        """Guards against a withdrawal lost with its node, and a write by each."""
+        # n1 is before node-1 on the ring.
+        node.members.merge([make_member(name, "domain-a") for name in names])
+        node.config.withdraw(KeyDigest("a" * 64))
+        anyio.run(node.emergency.write_pending)
+        assert ("config/head" in table.rows) == written
+
 
 class TestReading:
     def test_pages_list_every_contract_once(self, node: AdminNode):
