Merge request counts per failure domain and minute in the object store

Burn reports need counts that outlive nodes, within one write per domain and minute.

Each node closes a batch per minute and sends it to the first live node of ring 0 in its domain, which reads, merges and writes one object per minute. A sender keeps its batch until the writer has read it back. The object lists the batches in it, so that none is added twice when writers change. At most three minutes are gathered at once; more wait at their senders, for up to an hour.

--- a/packages/endivebeam-model/src/endivebeam_model/__init__.py
+++ b/packages/endivebeam-model/src/endivebeam_model/__init__.py
@@ -1,5 +1,13 @@
 """Contracts, routes, configuration and member records of endivebeam."""
 
+from ._burn import (
+    AccountCounts,
+    Counts,
+    MinuteCounts,
+    add_counts,
+    name_minute,
+    sum_counts,
+)
 from ._change_checks import check_change
 from ._changes import (
     Change,
@@ -77,6 +85,7 @@
     "DEFAULT_TIMEOUT_S",
     "KEY_ID_CHARS",
     "MAX_TIMEOUT_MS",
+    "AccountCounts",
     "AccountId",
     "Address",
     "ChainId",
@@ -84,6 +93,7 @@
     "ConfigVersion",
     "Contract",
     "ContractDocument",
+    "Counts",
     "Criticality",
     "DomainName",
     "Finding",
@@ -94,6 +104,7 @@
     "LogEntry",
     "Member",
     "MemberState",
+    "MinuteCounts",
     "NodeId",
     "Objectives",
     "OperationId",
@@ -115,6 +126,7 @@
     "Source",
     "VersionGap",
     "WithdrawKey",
+    "add_counts",
     "apply_entry",
     "authenticate",
     "build_schema",
@@ -134,7 +146,9 @@
     "load_document",
     "load_model",
     "make_tag",
+    "name_minute",
     "suggest",
+    "sum_counts",
     "to_contract",
     "to_service",
 ]
--- /dev/null
+++ b/packages/endivebeam-model/src/endivebeam_model/_burn.py
@@ -0,0 +1,84 @@
+"""Counters of requests per minute, from which burn reports are made.
+
+A minute is the number of minutes since 1970 on the wall clock of the node that
+counted. It is only a label: skewed clocks move counts to a neighboring minute.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import msgspec
+
+from ._ids import AccountId, DomainName, ServiceName
+
+
+class Counts(NamedTuple):
+    """Requests of one client account and service by how they ended.
+
+    ``slow`` are those of ``complete`` that missed the latency objective.
+    """
+
+    complete: int = 0
+    slow: int = 0
+    failed: int = 0
+    refused_within_rate: int = 0
+    refused_over_rate: int = 0
+
+    @property
+    def admitted(self) -> int:
+        """Requests that were within the rate."""
+        return self.complete + self.failed + self.refused_within_rate
+
+    @property
+    def bad(self) -> int:
+        """Requests that spend the error budget."""
+        return self.failed + self.refused_within_rate
+
+
+class AccountCounts(NamedTuple):
+    """Counts with the account and service they belong to."""
+
+    account: AccountId
+    service: ServiceName
+    counts: Counts
+
+
+class MinuteCounts(msgspec.Struct, frozen=True, kw_only=True):
+    """Counts of one failure domain in one minute.
+
+    ``senders`` are the nodes whose counts are in it, each with a part that
+    differs between two lives of the process. A sender that is listed is never
+    added again.
+    """
+
+    domain: DomainName
+    minute: int
+    senders: tuple[str, ...] = ()
+    counts: tuple[AccountCounts, ...] = ()
+
+
+def add_counts(first: Counts, second: Counts) -> Counts:
+    """Return the sums of two counts.
+
+    >>> add_counts(Counts(complete=1), Counts(complete=2, failed=1))
+    Counts(complete=3, slow=0, failed=1, refused_within_rate=0, refused_over_rate=0)
+    """
+    return Counts(*(a + b for a, b in zip(first, second, strict=True)))
+
+
+def sum_counts(counts: Iterable[AccountCounts]) -> tuple[AccountCounts, ...]:
+    """Return one entry per account and service, in their order."""
+    sums: dict[tuple[AccountId, ServiceName], Counts] = {}
+    for account, service, more in counts:
+        key = (account, service)
+        sums[key] = add_counts(sums.get(key, Counts()), more)
+    return tuple(AccountCounts(*key, sums[key]) for key in sorted(sums))
+
+
+def name_minute(domain: DomainName, minute: int) -> str:
+    """Return the name of the object that holds a domain's minute.
+
+    >>> name_minute(DomainName("domain-a"), 29000000)
+    'burn/domain-a/0029000000'
+    """
+    return f"burn/{domain}/{minute:010d}"
--- a/packages/endivebeam-node/src/endivebeam_node/_admin.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_admin.py
@@ -6,7 +6,7 @@
 import anyio
 import msgspec
 from loguru import logger
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -53,6 +53,8 @@
     StoreReply,
     VersionsReply,
 )
+from ._burn_read import MAX_RANGE, read_burn
+from ._burn_sync import ReadObject, read_minute
 from ._commits import (
     Accepted,
     Asked,
@@ -73,6 +75,11 @@
 MAX_VERSION = 2**53
 
 
+async def read_nothing(name: str) -> Result[bytes | None, Unavailable]:
+    """Find no object; for nodes without an object store."""
+    return Success(None)
+
+
 def build_admin_app(
     *,
     operators: list[Operator],
@@ -83,6 +90,7 @@
     versions: HeardVersions | None = None,
     on_drain: Callable[[], None] = lambda: None,
     render_metrics: Callable[[], bytes] = lambda: b"",
+    read_object: ReadObject = read_nothing,
 ) -> Starlette:
     """Return the ASGI application of the administration API."""
     handlers = _Handlers(
@@ -93,6 +101,7 @@
         versions=versions or HeardVersions(),
         on_drain=on_drain,
         render_metrics=render_metrics,
+        read_object=read_object,
     )
     return Starlette(
         routes=[
@@ -132,6 +141,7 @@
         versions: HeardVersions,
         on_drain: Callable[[], None],
         render_metrics: Callable[[], bytes],
+        read_object: ReadObject,
     ) -> None:
         self._config = config
         self._members = members
@@ -140,6 +150,7 @@
         self._versions = versions
         self._on_drain = on_drain
         self._render_metrics = render_metrics
+        self._read_object = read_object
         self._draining = False
 
     async def read_health(self, request: Request, operator: object) -> Response:
@@ -263,6 +274,20 @@
                 return reply(StoreReply(reachable=False, message=message))
         return reply(StoreReply(reachable=True))
 
+    async def read_burn(self, request: Request, operator: object) -> Response:
+        now = read_minute()
+        last = read_number(request, "last", now, high=MAX_VERSION)
+        first = read_number(request, "first", last, high=MAX_VERSION)
+        if not first <= last < first + MAX_RANGE:
+            message = f"ask for 1 to {MAX_RANGE} minutes, the first one first"
+            raise fail(400, "bad_request", message)
+        domains = {member.domain for member in self._members.all()}
+        answer = await read_burn(self._read_object, domains, range(first, last + 1))
+        match answer:
+            case Failure(Unavailable(message=message)):
+                raise fail(503, "store_unavailable", f"{message}; try again")
+        return reply(answer.unwrap())
+
     async def drain(self, request: Request, operator: Operator) -> Response:
         asked = await read_body(request, DrainRequest)
         local = self._members.local.node_id
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_burn_sync.py
@@ -0,0 +1,160 @@
+"""Sends counts to the writer of the domain and writes them to the store."""
+
+import datetime
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+import msgspec
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from endivebeam_model import Address, Member, MinuteCounts, name_minute
+from endivebeam_store import Unavailable
+from endivebeam_wire import (
+    CountsKept,
+    SendCounts,
+    StreamFullError,
+    StreamLostError,
+)
+
+from ._burn import Batch, BurnCollector, MinuteCounter
+from ._domain_writer import find_domain_writer
+from ._members import Members
+from ._peers import Peers, UnreachableError
+
+STEP_PERIOD_S = 1.0
+RESEND_PERIOD_S = 12.0
+SPREAD_S = 5.0
+FINISH_TIMEOUT_S = 3.0
+SEND_TIMEOUT_S = 2.0
+
+SendBatch = Callable[[Address, Batch], Awaitable[bool]]
+"""Sends a batch to the writer; returns whether it is stored."""
+
+ReadObject = Callable[[str], Awaitable[Result[bytes | None, Unavailable]]]
+WriteObject = Callable[[str, bytes], Awaitable[Result[None, Unavailable]]]
+
+
+def read_minute() -> int:
+    """Return the current minute of the wall clock, as a label."""
+    return int(datetime.datetime.now(datetime.UTC).timestamp() // 60)
+
+
+async def send_batch(peers: Peers, address: Address, batch: Batch) -> bool:
+    """Send a batch to another node; return whether it is stored."""
+    with anyio.move_on_after(SEND_TIMEOUT_S):
+        try:
+            stream = await peers.connect(address)
+            reply = await stream.ask(
+                SendCounts(
+                    request_id=stream.next_id(),
+                    sender=batch.sender,
+                    minute=batch.minute,
+                    counts=batch.counts,
+                )
+            )
+        except (UnreachableError, StreamLostError, StreamFullError):
+            return False
+        return isinstance(reply, CountsKept) and reply.kept
+    return False
+
+
+class BurnReporter:
+    """Moves this node's counts, and as writer those of its domain."""
+
+    def __init__(
+        self,
+        *,
+        counter: MinuteCounter,
+        members: Members,
+        send: SendBatch,
+        read: ReadObject,
+        write: WriteObject,
+        rng: random.Random,
+    ) -> None:
+        self._counter = counter
+        self._members = members
+        self._send = send
+        self._read = read
+        self._write = write
+        self._rng = rng
+        self._next_send: dict[str, float] = {}
+        self._domain = members.local.domain
+        self.collector = BurnCollector(domain=self._domain)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        while True:
+            await self.step(anyio.current_time(), read_minute())
+            await anyio.sleep(STEP_PERIOD_S)
+
+    async def finish(self) -> None:
+        """Hand over what was counted, before the node stops."""
+        with anyio.move_on_after(FINISH_TIMEOUT_S):
+            now = anyio.current_time()
+            self._counter.close(read_minute(), finish=True)
+            self._next_send.clear()
+            await self._send_due(now + SPREAD_S)
+            # The writer that stops does not wait for further batches.
+            for minute in self.collector.due(float("inf")):
+                await self._flush(minute, now)
+
+    async def step(self, now: float, minute: int) -> None:
+        """Do once what is due; ``now`` is monotonic."""
+        self._counter.close(minute)
+        await self._send_due(now)
+        for due in self.collector.due(now):
+            await self._flush(due, now)
+
+    async def _send_due(self, now: float) -> None:
+        writer = find_domain_writer(self._members.local, self._members.all())
+        for sender, batch in list(self._counter.waiting.items()):
+            # The nodes of a domain close their minutes at the same time.
+            first = now + self._rng.random() * SPREAD_S
+            if self._next_send.setdefault(sender, first) > now:
+                continue
+            self._next_send[sender] = now + RESEND_PERIOD_S
+            if await self._deliver(writer, batch, now):
+                self._counter.forget(sender)
+        self._next_send = {
+            sender: due
+            for sender, due in self._next_send.items()
+            if sender in self._counter.waiting
+        }
+
+    async def _deliver(self, writer: Member, batch: Batch, now: float) -> bool:
+        if writer.node_id == self._members.local.node_id:
+            return self.collector.receive(batch, now)
+        return await self._send(writer.address, batch)
+
+    async def _flush(self, minute: int, now: float) -> None:
+        name = name_minute(self._domain, minute)
+        read = await self._read(name)
+        match read:
+            case Failure(Unavailable(message=message)):
+                self._postpone(minute, now, message)
+                return
+        merged = self.collector.merge(minute, _decode(read.unwrap(), name), now)
+        if merged is None:
+            return
+        match await self._write(name, msgspec.json.encode(merged)):
+            case Failure(Unavailable(message=message)):
+                self._postpone(minute, now, message)
+            case Success(_):
+                logger.debug("store: wrote {}", name)
+
+    def _postpone(self, minute: int, now: float, message: str) -> None:
+        logger.warning("store: burn counters wait: {}", message)
+        self.collector.postpone(minute, now)
+
+
+def _decode(content: bytes | None, name: str) -> MinuteCounts | None:
+    if content is None:
+        return None
+    try:
+        return msgspec.json.decode(content, type=MinuteCounts)
+    except msgspec.DecodeError:
+        # Nothing can be added to an object that cannot be read.
+        logger.warning("store: {} is malformed and is written anew", name)
+        return None
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -31,7 +31,7 @@
     ServiceName,
     WithdrawKey,
 )
-from endivebeam_store import ConfigLog, HttpTable
+from endivebeam_store import ConfigLog, HttpObjects, HttpTable
 from endivebeam_wire import (
     PROTOCOL_VERSION,
     AskEntries,
@@ -45,28 +45,25 @@
     PeerStream,
     Reply,
     Request,
+    SendCounts,
     SyncMembers,
 )
 
-from ._admin import build_admin_app
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
-from ._commits import Committer
 from ._config import ConfigCopy
-from ._emergency import EmergencyWriter
 from ._forward import TargetForwarder
 from ._gauges import add_gauges
 from ._inflight import InFlight
 from ._members import Members
-from ._metrics import Metrics
 from ._nested import LocalHandler
+from ._operations import Operations
 from ._peers import Peers
 from ._ports import Forward, Observation, Outcome
 from ._settings import Settings
 from ._stop import wait_for_stop
 from ._sync import Synchronizer
 from ._targets import Announcement, LocalTarget
-from ._versions import HeardVersions
 
 MAX_CALLER_CONNECTIONS = 2048
 PORTS_CHECK_PERIOD_S = 0.05
@@ -94,9 +91,7 @@
         self.target = LocalTarget()
         self.in_flight = InFlight()
         self.members = Members(local=_local_member(settings))
-        self.versions = HeardVersions()
         self._stop = anyio.Event()
-        self.metrics = Metrics()
         self._client = httpx.AsyncClient(base_url=settings.platform_url, timeout=5.0)
         self.table = HttpTable(client=self._client)
         self.log = ConfigLog(table=self.table)
@@ -121,6 +116,17 @@
             in_flight=self.in_flight,
             report_load=self._report_load,
         )
+        self.operations = Operations(
+            settings=settings,
+            config=self.config,
+            members=self.members,
+            peers=self.peers,
+            log=self.log,
+            objects=HttpObjects(client=self._client),
+            on_committed=self._on_committed,
+            on_withdrawn=self._on_withdrawn,
+            rng=self._rng,
+        )
         self.calls = CallPath(
             local=NodeId(settings.node_id),
             peers=self.peers,
@@ -134,7 +140,7 @@
             config=self.config,
             calls=self.calls,
             take_token=self._take_token,
-            record=self.metrics.record,
+            record=self.operations.record,
         )
         self.local = LocalHandler(
             config=self.config,
@@ -143,18 +149,9 @@
             in_flight=self.in_flight,
             on_announcement=self._on_announcement,
         )
-        self.committer = Committer(
-            config=self.config,
-            log=self.log,
-            on_committed=self._on_committed,
-            on_withdrawn=self._on_withdrawn,
-        )
-        self.emergency = EmergencyWriter(
-            config=self.config, committer=self.committer, members=self.members
-        )
         self._connections: set[ServerConnection] = set()
         add_gauges(
-            self.metrics,
+            self.operations.metrics,
             config=self.config,
             members=self.members,
             calls=self.calls,
@@ -176,7 +173,7 @@
             servers.start_soon(peer.serve, self.peers.accept)
             servers.start_soon(self._serve_admin, admin)
             servers.start_soon(self.sync.run)
-            servers.start_soon(self.emergency.run)
+            servers.start_soon(self.operations.run)
             ports = Ports(
                 caller=_port_of(caller),
                 local=_port_of(local),
@@ -202,6 +199,7 @@
             await anyio.sleep(1.0)
             while self._connections or len(self.in_flight):
                 await anyio.sleep(PORTS_CHECK_PERIOD_S)
+        await self.operations.finish()
         self.members.update_local(state=MemberState.LEFT)
         logger.info("node: drained")
 
@@ -229,16 +227,7 @@
             self._connections.discard(connection)
 
     async def _serve_admin(self, listener: socket.socket) -> None:
-        app = build_admin_app(
-            operators=self.settings.operators,
-            config=self.config,
-            members=self.members,
-            log=self.log,
-            committer=self.committer,
-            versions=self.versions,
-            on_drain=self._stop.set,
-            render_metrics=self.metrics.render,
-        )
+        app = self.operations.build_app(on_drain=self._stop.set)
         config = HypercornConfig()
         config.bind = [f"fd://{listener.fileno()}"]
         config.errorlog = None
@@ -252,15 +241,15 @@
                 outcome = await self.calls.serve(request)
                 return _with_id(outcome, request.request_id)
             case Heartbeat(request_id=request_id, config_version=version):
-                if stream.remote is not None:
-                    now = anyio.current_time()
-                    self.versions.record(stream.remote.node_id, version, now)
+                self.operations.hear_stream(stream, version)
                 return HeartbeatEcho(
                     request_id=request_id, config_version=self.config.version
                 )
             case SyncMembers(request_id=request_id, members=members):
                 self.members.merge(members)
                 return MemberList(request_id=request_id, members=self.members.all())
+            case SendCounts():
+                return self.operations.receive_counts(request)
             case AskEntries(request_id=request_id, after=after):
                 entries = self.config.entries_after(after)
                 return Entries(request_id=request_id, entries=entries)
@@ -278,10 +267,7 @@
         return Heartbeat(request_id=request_id, config_version=self.config.version)
 
     def _on_echo(self, address: Address, echo: HeartbeatEcho) -> None:
-        node_id = self.peers.find_node(address)
-        if node_id is not None:
-            now = anyio.current_time()
-            self.versions.record(node_id, echo.config_version, now)
+        self.operations.hear_address(address, echo.config_version)
         if echo.config_version > self.config.version:
             self._tasks.start_soon(self.sync.pull_entries, address, echo.config_version)
 
--- a/packages/endivebeam-node/src/endivebeam_node/_endpoints.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_endpoints.py
@@ -16,6 +16,7 @@
     StoreReply,
     VersionsReply,
 )
+from ._burn_read import BurnReply
 from ._openapi import Endpoint
 
 ENDPOINTS = (
@@ -122,6 +123,16 @@
         Access.READ,
         answer=StoreReply,
     ),
+    Endpoint(
+        "GET",
+        "/v1/burn",
+        "read_burn",
+        "Counts of at most 60 minutes since 1970, both ends included.",
+        Access.READ,
+        answer=BurnReply,
+        query=("first", "last"),
+        statuses=(400, 503),
+    ),
     Endpoint(
         "POST",
         "/v1/drain",
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_operations.py
@@ -0,0 +1,117 @@
+"""What operators see and use of a node: changes, versions, metrics, burn."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+from starlette.applications import Starlette
+
+from endivebeam_model import Address, ConfigVersion
+from endivebeam_store import ConfigLog, HttpObjects
+from endivebeam_wire import CountsKept, PeerStream, SendCounts
+
+from ._admin import build_admin_app
+from ._burn import Batch, MinuteCounter
+from ._burn_sync import BurnReporter, send_batch
+from ._commits import Committer, OnCommitted, OnWithdrawn
+from ._config import ConfigCopy
+from ._emergency import EmergencyWriter
+from ._members import Members
+from ._metrics import Measured, Metrics
+from ._peers import Peers
+from ._settings import Settings
+from ._versions import HeardVersions
+
+
+class Operations:
+    """The parts of a node that serve its operators."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        config: ConfigCopy,
+        members: Members,
+        peers: Peers,
+        log: ConfigLog,
+        objects: HttpObjects,
+        on_committed: OnCommitted,
+        on_withdrawn: OnWithdrawn,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._config = config
+        self._members = members
+        self._peers = peers
+        self._log = log
+        self._objects = objects
+        self.versions = HeardVersions()
+        self.metrics = Metrics()
+        self._committer = Committer(
+            config=config,
+            log=log,
+            on_committed=on_committed,
+            on_withdrawn=on_withdrawn,
+        )
+        self._emergency = EmergencyWriter(
+            config=config, committer=self._committer, members=members
+        )
+        self._counter = MinuteCounter(node_id=settings.node_id)
+        self._burn = BurnReporter(
+            counter=self._counter,
+            members=members,
+            send=self._send_batch,
+            read=objects.read,
+            write=objects.write,
+            rng=rng,
+        )
+
+    def record(self, measured: Measured) -> None:
+        """Count one request that ended."""
+        self.metrics.record(measured)
+        self._counter.record(measured)
+
+    def hear_stream(self, stream: PeerStream, version: ConfigVersion) -> None:
+        """Keep the configuration version that the other end of a stream has."""
+        if stream.remote is not None:
+            now = anyio.current_time()
+            self.versions.record(stream.remote.node_id, version, now)
+
+    def hear_address(self, address: Address, version: ConfigVersion) -> None:
+        """Keep the configuration version that a node with a stream has."""
+        node_id = self._peers.find_node(address)
+        if node_id is not None:
+            self.versions.record(node_id, version, anyio.current_time())
+
+    def receive_counts(self, sent: SendCounts) -> CountsKept:
+        """Take the counts of another node of this failure domain."""
+        batch = Batch(sender=sent.sender, minute=sent.minute, counts=tuple(sent.counts))
+        kept = self._burn.collector.receive(batch, anyio.current_time())
+        return CountsKept(request_id=sent.request_id, kept=kept)
+
+    async def run(self) -> None:
+        """Run the background work until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._emergency.run)
+            tasks.start_soon(self._burn.run)
+
+    async def finish(self) -> None:
+        """Hand over what was counted, before the node stops."""
+        await self._burn.finish()
+
+    def build_app(self, on_drain: Callable[[], None]) -> Starlette:
+        """Return the administration API."""
+        return build_admin_app(
+            operators=self._settings.operators,
+            config=self._config,
+            members=self._members,
+            log=self._log,
+            committer=self._committer,
+            versions=self.versions,
+            on_drain=on_drain,
+            render_metrics=self.metrics.render,
+            read_object=self._objects.read,
+        )
+
+    async def _send_batch(self, address: Address, batch: Batch) -> bool:
+        return await send_batch(self._peers, address, batch)
--- a/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
@@ -10,6 +10,7 @@
     CallRefused,
     CallRequest,
     CancelCall,
+    CountsKept,
     Entries,
     Header,
     Heartbeat,
@@ -20,6 +21,7 @@
     Message,
     Reply,
     Request,
+    SendCounts,
     SyncMembers,
 )
 from ._streams import Answer, PeerStream, StreamFullError, StreamLostError
@@ -34,6 +36,7 @@
     "CallRefused",
     "CallRequest",
     "CancelCall",
+    "CountsKept",
     "Entries",
     "FrameError",
     "FrameReader",
@@ -47,6 +50,7 @@
     "PeerStream",
     "Reply",
     "Request",
+    "SendCounts",
     "StreamFullError",
     "StreamLostError",
     "SyncMembers",
--- a/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from endivebeam_model import (
+    AccountCounts,
     AccountId,
     ChainId,
     ConfigVersion,
@@ -28,6 +29,7 @@
 MAX_BODY_BYTES = 1 << 20
 MAX_FRAME_BYTES = MAX_BODY_BYTES + (64 << 10)
 MAX_HEADERS = 128
+MAX_COUNTS = 2048
 
 ShortText = Annotated[str, msgspec.Meta(max_length=256)]
 PathText = Annotated[str, msgspec.Meta(max_length=8192)]
@@ -165,6 +167,22 @@
     entries: Sequence[LogEntry]
 
 
-Request = Heartbeat | CallRequest | SyncMembers | AskEntries
-Reply = HeartbeatEcho | CallAnswer | CallRefused | MemberList | Entries
+class SendCounts(_Message, frozen=True, kw_only=True, tag=30):
+    """Sends a node's counts of one minute to the writer of its domain."""
+
+    request_id: int
+    sender: ShortText
+    minute: int
+    counts: Annotated[Sequence[AccountCounts], msgspec.Meta(max_length=MAX_COUNTS)]
+
+
+class CountsKept(_Message, frozen=True, kw_only=True, tag=31):
+    """Says whether the counts are in the object store."""
+
+    request_id: int
+    kept: bool
+
+
+Request = Heartbeat | CallRequest | SyncMembers | AskEntries | SendCounts
+Reply = HeartbeatEcho | CallAnswer | CallRefused | MemberList | Entries | CountsKept
 Message = Hello | CancelCall | Request | Reply
