Report service-level burn per account and service

Operators could not see which account loses its objective, and refusals of a surge could not be told from wrongful ones.

--- a/packages/endivebeam-cli/src/endivebeam_cli/_main.py
+++ b/packages/endivebeam-cli/src/endivebeam_cli/_main.py
@@ -5,7 +5,7 @@
 
 import typer
 
-from . import _contracts, _keys
+from . import _contracts, _keys, _report
 from ._contracts import apply, validate
 from ._doctor import doctor
 from ._exits import Exit, ToolError
@@ -69,6 +69,7 @@
 app.command()(apply)
 app.add_typer(_contracts.app, name="contract")
 app.add_typer(_keys.app, name="key")
+app.add_typer(_report.app, name="report")
 app.command()(status)
 app.command()(watch)
 app.command()(drain)
