--- a/packages/endivebeam-report/src/endivebeam_report/_format.py
+++ b/packages/endivebeam-report/src/endivebeam_report/_format.py
@@ -7,7 +7,7 @@
     """Write a minute as a time in UTC.
 
     >>> format_minute(29000000)
-    '2025-02-20 21:20 UTC'
+    '2025-02-19 21:20 UTC'
     """
     at = datetime.datetime.fromtimestamp(minute * 60, datetime.UTC)
     return at.strftime("%Y-%m-%d %H:%M UTC")
--- a/packages/endivebeam-report/src/endivebeam_report/_html.py
+++ b/packages/endivebeam-report/src/endivebeam_report/_html.py
@@ -124,7 +124,7 @@
         allowed = 1 - contract.objectives.availability
         burns = [c.bad / max(1, c.admitted) / allowed for c in series[name]]
         axes.plot(times, burns, label=name, linewidth=1.4)
-    axes.axhline(1, color="#a3161b", linewidth=1, linestyle="--", label="budget")
+    axes.axhline(1, color="#1c2430", linewidth=1, linestyle="--", label="budget")
     axes.set_ylabel("burn")
     axes.set_ylim(bottom=0)
     return _finish(figure, axes)
