--- a/packages/endivebeam-node/src/endivebeam_node/_admin.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_admin.py
@@ -309,8 +309,9 @@
                 done = ChangeReply(version=entry.version, durable=True)
                 current = find_object(self._config.snapshot, body.change)
                 return reply(done, etag=make_tag(current))
-            case Emergency(version):
-                return reply(ChangeReply(version=version, durable=False), status=202)
+            case Emergency(version, durable):
+                done = ChangeReply(version=version, durable=durable)
+                return reply(done, status=200 if durable else 202)
             case Changed(version=version, current=current):
                 raise _conflict(version, current)
             case Refused(reasons):
--- a/packages/endivebeam-node/src/endivebeam_node/_burn_sync.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_burn_sync.py
@@ -9,7 +9,12 @@
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from endivebeam_model import Address, Member, MinuteCounts, name_minute
+from endivebeam_model import (
+    Address,
+    DomainName,
+    MinuteCounts,
+    name_minute,
+)
 from endivebeam_store import Unavailable
 from endivebeam_wire import (
     CountsKept,
@@ -19,8 +24,6 @@
 )
 
 from ._burn import Batch, BurnCollector, MinuteCounter
-from ._domain_writer import find_domain_writer
-from ._members import Members
 from ._peers import Peers, UnreachableError
 
 STEP_PERIOD_S = 1.0
@@ -32,6 +35,13 @@
 SendBatch = Callable[[Address, Batch], Awaitable[bool]]
 """Sends a batch to the writer; returns whether it is stored."""
 
+FindWriter = Callable[[], Address | None]
+"""Returns the address of the writer of this domain; None for this node itself.
+
+Nodes with the same members agree on the writer. While they disagree, two nodes
+may write.
+"""
+
 ReadObject = Callable[[str], Awaitable[Result[bytes | None, Unavailable]]]
 WriteObject = Callable[[str, bytes], Awaitable[Result[None, Unavailable]]]
 
@@ -67,21 +77,22 @@
         self,
         *,
         counter: MinuteCounter,
-        members: Members,
+        domain: DomainName,
+        find_writer: FindWriter,
         send: SendBatch,
         read: ReadObject,
         write: WriteObject,
         rng: random.Random,
     ) -> None:
         self._counter = counter
-        self._members = members
+        self._find_writer = find_writer
         self._send = send
         self._read = read
         self._write = write
         self._rng = rng
         self._next_send: dict[str, float] = {}
-        self._domain = members.local.domain
-        self.collector = BurnCollector(domain=self._domain)
+        self._domain = domain
+        self.collector = BurnCollector(domain=domain)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -108,7 +119,7 @@
             await self._flush(due, now)
 
     async def _send_due(self, now: float) -> None:
-        writer = find_domain_writer(self._members.local, self._members.all())
+        writer = self._find_writer()
         for sender, batch in list(self._counter.waiting.items()):
             # The nodes of a domain close their minutes at the same time.
             first = now + self._rng.random() * SPREAD_S
@@ -123,10 +134,10 @@
             if sender in self._counter.waiting
         }
 
-    async def _deliver(self, writer: Member, batch: Batch, now: float) -> bool:
-        if writer.node_id == self._members.local.node_id:
+    async def _deliver(self, writer: Address | None, batch: Batch, now: float) -> bool:
+        if writer is None:
             return self.collector.receive(batch, now)
-        return await self._send(writer.address, batch)
+        return await self._send(writer, batch)
 
     async def _flush(self, minute: int, now: float) -> None:
         name = name_minute(self._domain, minute)
--- a/packages/endivebeam-node/src/endivebeam_node/_commits.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_commits.py
@@ -54,9 +54,10 @@
 
 
 class Emergency(msgspec.Struct, frozen=True):
-    """A withdrawal that is in force but not yet in the log."""
+    """A withdrawal without the store; durable if it was in the log before."""
 
     version: ConfigVersion
+    durable: bool = False
 
 
 class Changed(msgspec.Struct, frozen=True, kw_only=True):
@@ -218,8 +219,13 @@
         if reasons:
             return Refused(reasons)
         digest = asked.change.digest
+        known = self._config.snapshot.keys.get(digest)
+        if known is not None and known.withdrawn:
+            return Emergency(self._config.version, durable=True)
         if digest not in self._config.withdrawn:
             await self._on_withdrawn(asked.change)
+        if digest not in self._config.withdrawn:
+            return StoreDown(f"{message}, and too many withdrawals wait for it")
         self._pending.setdefault(digest, asked)
         logger.warning(
             "config: {} withdrew key {} while the store is down ({})",
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -3,8 +3,6 @@
 import random
 import secrets
 import socket
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from typing import cast
 
 import anyio
@@ -15,18 +13,17 @@
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.typing import ASGIFramework
 from loguru import logger
-from returns.result import Result, Success
 
-from endivebeam_http import Handler, ServerConnection
+from endivebeam_http import HttpServer
+from endivebeam_limits import RetryBudgets
 from endivebeam_model import (
     Address,
-    Contract,
     DomainName,
     LogEntry,
     Member,
     MemberState,
     NodeId,
-    Refusal,
+    OperationId,
     RegionName,
     ServiceName,
     WithdrawKey,
@@ -35,49 +32,56 @@
 from endivebeam_wire import (
     PROTOCOL_VERSION,
     AskEntries,
+    AskGrant,
+    AskOutcome,
+    AskSnapshot,
     CallRequest,
-    Entries,
+    DigestRequest,
+    ExchangeLeaves,
+    HandOverShare,
     Heartbeat,
     HeartbeatEcho,
     Hello,
-    LoadReport,
-    MemberList,
     PeerStream,
+    RelayStore,
     Reply,
     Request,
+    Rumor,
     SendCounts,
-    SyncMembers,
 )
 
+from ._admission import LocalAdmission
+from ._attempts import Known
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
 from ._config import ConfigCopy
+from ._config_sync import ConfigSync
+from ._fleet_view import FleetView
 from ._forward import TargetForwarder
 from ._gauges import add_gauges
 from ._inflight import InFlight
+from ._joining import Joining
+from ._limits import RateLimits
+from ._listening import Ports, listen, port_of, write_ports
 from ._members import Members
 from ._nested import LocalHandler
+from ._once import OnceRunner, ask_outcome
 from ._operations import Operations
+from ._overlay import Overlay
 from ._peers import Peers
-from ._ports import Forward, Observation, Outcome
+from ._ports import Outcome
+from ._routes import Routes
 from ._settings import Settings
 from ._stop import wait_for_stop
-from ._sync import Synchronizer
 from ._targets import Announcement, LocalTarget
 
-MAX_CALLER_CONNECTIONS = 2048
 PORTS_CHECK_PERIOD_S = 0.05
+TARGET_CHECK_PERIOD_S = 0.2
+LEFT_SPREAD_S = 0.3
 
-SocketListener = anyio.abc.Listener[anyio.abc.SocketStream]
-
-
-class Ports(msgspec.Struct, frozen=True, kw_only=True):
-    """Ports that the node listens on."""
-
-    caller: int
-    local: int
-    peer: int
-    admin: int
+# Half of the time that a call waits for its claim, so that a lost answer
+# leaves time to read the row back.
+RECORD_TIMEOUT_S = 0.45
 
 
 class Node:
@@ -90,31 +94,64 @@
         self.config = ConfigCopy()
         self.target = LocalTarget()
         self.in_flight = InFlight()
-        self.members = Members(local=_local_member(settings))
+        self.members = Members(local=_local_member(settings), config=self.config)
         self._stop = anyio.Event()
         self._client = httpx.AsyncClient(base_url=settings.platform_url, timeout=5.0)
-        self.table = HttpTable(client=self._client)
+        self.table = HttpTable(
+            client=self._client, on_answer=self.members.store_answered
+        )
         self.log = ConfigLog(table=self.table)
         self.peers = Peers(
             tasks=tasks,
             answer=self._answer,
             hello=self._hello,
-            heartbeat=self._heartbeat,
+            heartbeat=lambda request_id: self.overlay.heartbeat(request_id),
             on_echo=self._on_echo,
+            on_lost=lambda stream: self.routes.lose(stream),
+            is_neighbor=lambda address: self.overlay.is_neighbor(address),
+        )
+        self.overlay = Overlay(
+            members=self.members, peers=self.peers, tasks=tasks, rng=self._rng
         )
-        self.sync = Synchronizer(
+        self.routes = Routes(
+            members=self.members, peers=self.peers, tasks=tasks, rng=self._rng
+        )
+        self.sync = ConfigSync(
             members=self.members,
             config=self.config,
+            log=self.log,
+            objects=HttpObjects(client=self._client),
+        )
+        self.joining = Joining(
+            members=self.members,
+            overlay=self.overlay,
             peers=self.peers,
             table=self.table,
             seeds=[Address(s.host, s.port) for s in settings.seeds],
             rng=self._rng,
         )
+        self.admission = LocalAdmission(
+            tasks=tasks, target=self.target, config=self.config
+        )
         self.forwarder = TargetForwarder(
-            tasks=tasks,
             target=self.target,
             in_flight=self.in_flight,
-            report_load=self._report_load,
+            report_load=self.admission.report,
+        )
+        # Call records have their own connections, so that many slow claims
+        # cannot keep leases and configuration from the store.
+        self._record_client = httpx.AsyncClient(base_url=settings.platform_url)
+        self.once = OnceRunner(
+            tasks=tasks,
+            node=NodeId(settings.node_id),
+            table=HttpTable(
+                client=self._record_client,
+                request_timeout_s=RECORD_TIMEOUT_S,
+                read_back_attempts=0,
+            ),
+            objects=HttpObjects(client=self._record_client),
+            ask=self._ask_outcome,
+            report_load=self.admission.report,
         )
         self.operations = Operations(
             settings=settings,
@@ -130,17 +167,28 @@
         self.calls = CallPath(
             local=NodeId(settings.node_id),
             peers=self.peers,
-            choose=self._choose,
-            observe=self._observe,
-            admit=self._admit,
-            forward=self.forwarder.forward,
-            run_once=self._run_once,
+            choose=self.routes.choose,
+            observe=self.routes.observe,
+            admit=self.admission.admit,
+            forward=self.admission.watch(self.forwarder.forward),
+            run_once=self.once.run,
+            budgets=RetryBudgets(),
+        )
+        self.rates = RateLimits(
+            settings=settings,
+            view=self._fleet_view(),
+            config=self.config,
+            peers=self.peers,
+            table=self.table,
+            tasks=tasks,
+            rng=self._rng,
         )
         self.callers = CallerHandler(
             config=self.config,
             calls=self.calls,
-            take_token=self._take_token,
+            take_token=self.rates.take_token,
             record=self.operations.record,
+            is_isolated=self._is_isolated,
         )
         self.local = LocalHandler(
             config=self.config,
@@ -149,83 +197,74 @@
             in_flight=self.in_flight,
             on_announcement=self._on_announcement,
         )
-        self._connections: set[ServerConnection] = set()
+        self._caller_server = HttpServer(
+            handler=self.callers.handle, error_response=error_response
+        )
+        self._local_server = HttpServer(
+            handler=self.local.handle, error_response=error_response
+        )
         add_gauges(
             self.operations.metrics,
             config=self.config,
             members=self.members,
             calls=self.calls,
             in_flight=self.in_flight,
-            connections=self._connections,
+            connections=self._caller_server,
         )
+        self._stopping = False
 
     async def run(self) -> None:
         """Listen, serve until a stop is asked for, then drain."""
         settings = self.settings
         async with anyio.create_task_group() as servers:
-            caller = await _listen(settings.host, settings.caller_port)
-            local = await _listen("127.0.0.1", settings.local_port)
-            peer = await _listen(settings.host, settings.peer_port)
+            caller = await listen(settings.host, settings.caller_port)
+            local = await listen("127.0.0.1", settings.local_port)
+            peer = await listen(settings.host, settings.peer_port)
             admin = socket.create_server((settings.host, settings.admin_port))
-            self.members.set_address(Address(settings.host, _port_of(peer)))
-            servers.start_soon(caller.serve, self._serve_caller)
-            servers.start_soon(local.serve, self._serve_local)
+            self.members.update_local(address=Address(settings.host, port_of(peer)))
+            servers.start_soon(self._caller_server.serve, caller)
+            servers.start_soon(self._local_server.serve, local)
             servers.start_soon(peer.serve, self.peers.accept)
             servers.start_soon(self._serve_admin, admin)
+            servers.start_soon(self.overlay.run)
+            servers.start_soon(self.routes.run)
             servers.start_soon(self.sync.run)
+            servers.start_soon(self.rates.run)
+            servers.start_soon(self.joining.run)
+            servers.start_soon(self._watch_target)
             servers.start_soon(self.operations.run)
             ports = Ports(
-                caller=_port_of(caller),
-                local=_port_of(local),
-                peer=_port_of(peer),
+                caller=port_of(caller),
+                local=port_of(local),
+                peer=port_of(peer),
                 admin=admin.getsockname()[1],
             )
             logger.info("node: {} listens on {}", settings.node_id, ports)
-            _write_ports(settings, ports)
+            write_ports(settings, ports)
             await wait_for_stop(self._stop)
             await self._drain()
             servers.cancel_scope.cancel()
         await self.peers.close()
         await self._client.aclose()
+        await self._record_client.aclose()
 
     async def _drain(self) -> None:
         logger.info("node: draining")
+        self._stopping = True
         self.calls.draining = True
         self.members.update_local(state=MemberState.DRAINING)
-        for connection in list(self._connections):
-            connection.drain()
+        self._caller_server.drain()
+        await self.rates.leave()
         with anyio.move_on_after(self.settings.drain_timeout_s):
             # Other nodes need time to learn of the drain before streams close.
             await anyio.sleep(1.0)
-            while self._connections or len(self.in_flight):
+            while self._busy():
                 await anyio.sleep(PORTS_CHECK_PERIOD_S)
         await self.operations.finish()
         self.members.update_local(state=MemberState.LEFT)
+        await anyio.sleep(LEFT_SPREAD_S)
         logger.info("node: drained")
 
-    async def _serve_caller(self, stream: anyio.abc.SocketStream) -> None:
-        await self._serve_http(stream, self.callers.handle)
-
-    async def _serve_local(self, stream: anyio.abc.SocketStream) -> None:
-        await self._serve_http(stream, self.local.handle)
-
-    async def _serve_http(
-        self,
-        stream: anyio.abc.SocketStream,
-        handler: Handler,
-    ) -> None:
-        if len(self._connections) >= MAX_CALLER_CONNECTIONS:
-            await anyio.aclose_forcefully(stream)
-            return
-        connection = ServerConnection(
-            stream=stream, handler=handler, error_response=error_response
-        )
-        self._connections.add(connection)
-        try:
-            await connection.run()
-        finally:
-            self._connections.discard(connection)
-
     async def _serve_admin(self, listener: socket.socket) -> None:
         app = self.operations.build_app(on_drain=self._stop.set)
         config = HypercornConfig()
@@ -242,17 +281,26 @@
                 return _with_id(outcome, request.request_id)
             case Heartbeat(request_id=request_id, config_version=version):
                 self.operations.hear_stream(stream, version)
-                return HeartbeatEcho(
-                    request_id=request_id, config_version=self.config.version
-                )
-            case SyncMembers(request_id=request_id, members=members):
-                self.members.merge(members)
-                return MemberList(request_id=request_id, members=self.members.all())
+                self.overlay.take_heartbeat(stream)
+                if version > self.config.version:
+                    self._tasks.start_soon(self.sync.pull, stream)
+                return self.overlay.echo(request_id)
+            case Rumor():
+                return self.overlay.take_rumor(stream, request)
+            case DigestRequest():
+                return self.overlay.answer_digests(request)
+            case ExchangeLeaves():
+                return self.overlay.exchange_leaves(request)
+            case AskEntries():
+                return self.sync.answer_entries(request)
+            case AskSnapshot():
+                return self.sync.answer_snapshot(request)
+            case AskOutcome():
+                return self.once.answer(request)
+            case AskGrant() | HandOverShare() | RelayStore():
+                return await self.rates.answer(request)
             case SendCounts():
                 return self.operations.receive_counts(request)
-            case AskEntries(request_id=request_id, after=after):
-                entries = self.config.entries_after(after)
-                return Entries(request_id=request_id, entries=entries)
 
     def _hello(self) -> Hello:
         local = self.members.local
@@ -263,54 +311,55 @@
             domain=local.domain,
         )
 
-    def _heartbeat(self, request_id: int) -> Heartbeat:
-        return Heartbeat(request_id=request_id, config_version=self.config.version)
-
-    def _on_echo(self, address: Address, echo: HeartbeatEcho) -> None:
-        self.operations.hear_address(address, echo.config_version)
-        if echo.config_version > self.config.version:
-            self._tasks.start_soon(self.sync.pull_entries, address, echo.config_version)
+    def _on_echo(self, stream: PeerStream, echo: HeartbeatEcho, sent_at: float) -> None:
+        self.operations.hear_stream(stream, echo.config_version)
+        advice = self.overlay.take_echo(stream, echo, sent_at)
+        self.sync.note_version(echo.config_version)
+        if advice.pull:
+            self._tasks.start_soon(self.sync.pull, stream)
 
     def _on_announcement(self, announcement: Announcement) -> None:
+        if self._stopping:
+            return
+        self.calls.draining = announcement.state == "draining"
         state = MemberState.SERVING
-        if announcement.state == "draining":
+        if self.calls.draining:
             state = MemberState.DRAINING
         self.members.update_local(
             state=state, service=announcement.service, slots=announcement.slots
         )
 
+    async def _watch_target(self) -> None:
+        # A target that stopped announcing itself, or refused a connection, gets
+        # no calls until it announces itself again.
+        while True:
+            await anyio.sleep(TARGET_CHECK_PERIOD_S)
+            gone = self.target.current(anyio.current_time()) is None
+            if gone and not self._stopping:
+                self.members.update_local(state=MemberState.JOINING)
+
     def _on_committed(self, entry: LogEntry) -> None:
-        self.sync.spread(entry)
+        self.members.spread_entry(entry)
 
     async def _on_withdrawn(self, change: WithdrawKey) -> None:
-        self.config.withdraw(change.digest)
-
-    def _choose(
-        self, service: ServiceName, excluded: frozenset[NodeId]
-    ) -> Member | None:
-        found = [m for m in self.members.serving(service) if m.node_id not in excluded]
-        for member in found:
-            if member.node_id == self.members.local.node_id:
-                return member
-        return self._rng.choice(found) if found else None
-
-    def _observe(self, node_id: NodeId, observation: Observation) -> None:
-        return
+        self.members.spread_withdrawal(change.digest)
 
-    def _report_load(self) -> LoadReport:
-        announcement = self.target.announcement
-        limit = 0 if announcement is None else announcement.slots
-        return LoadReport(in_use=len(self.in_flight), limit=limit)
+    def _is_isolated(self) -> bool:
+        return self.members.is_isolated() or not self.sync.synced
 
-    @asynccontextmanager
-    async def _admit(self, call: CallRequest) -> AsyncIterator[Result[None, Refusal]]:
-        yield Success(None)
+    def _busy(self) -> bool:
+        return bool(len(self._caller_server) or len(self.in_flight) or len(self.once))
 
-    async def _run_once(self, call: CallRequest, forward: Forward) -> Outcome:
-        return await forward(call)
+    async def _ask_outcome(self, node_id: NodeId, op_id: OperationId) -> Known:
+        return await ask_outcome(self.peers, self.members.find_address(node_id), op_id)
 
-    async def _take_token(self, contract: Contract) -> Refusal | None:
-        return None
+    def _fleet_view(self) -> FleetView:
+        return FleetView(
+            local=lambda: self.members.local,
+            live=self.members.live,
+            contact_ages=self.members.domain_ages,
+            store_age=self.members.store_age,
+        )
 
 
 def _local_member(settings: Settings) -> Member:
@@ -328,26 +377,6 @@
     )
 
 
-async def _listen(host: str, port: int) -> SocketListener:
-    multi = await anyio.create_tcp_listener(local_host=host, local_port=port)
-    return multi.listeners[0]
-
-
-def _port_of(listener: SocketListener) -> int:
-    address = listener.extra(anyio.abc.SocketAttribute.local_address)
-    return int(address[1])
-
-
-def _write_ports(settings: Settings, ports: Ports) -> None:
-    path = settings.ports_file
-    if path is None:
-        return
-    # Renamed into place, so that a reader never sees half a file.
-    partial = path.with_suffix(".partial")
-    partial.write_bytes(msgspec.json.encode(ports))
-    partial.rename(path)
-
-
 def _with_id(outcome: Outcome, request_id: int) -> Outcome:
     return msgspec.structs.replace(outcome, request_id=request_id)
 
--- a/packages/endivebeam-node/src/endivebeam_node/_emergency.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_emergency.py
@@ -1,11 +1,11 @@
 """Writes emergency withdrawals to the log when the store is back."""
 
+from collections.abc import Callable
+
 import anyio
 
 from ._commits import Committer
 from ._config import ConfigCopy
-from ._domain_writer import find_domain_writer
-from ._members import Members
 
 RETRY_PERIOD_S = 1.0
 
@@ -18,11 +18,15 @@
     """
 
     def __init__(
-        self, *, config: ConfigCopy, committer: Committer, members: Members
+        self,
+        *,
+        config: ConfigCopy,
+        committer: Committer,
+        is_writer: Callable[[], bool],
     ) -> None:
         self._config = config
         self._committer = committer
-        self._members = members
+        self._is_writer = is_writer
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -35,8 +39,3 @@
         for digest in self._config.pending():
             if self._committer.accepted_here(digest) or self._is_writer():
                 await self._committer.write_pending(digest)
-
-    def _is_writer(self) -> bool:
-        local = self._members.local
-        writer = find_domain_writer(local, self._members.all())
-        return writer.node_id == local.node_id
--- a/packages/endivebeam-node/src/endivebeam_node/_main.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_main.py
@@ -4,12 +4,12 @@
 from pathlib import Path
 from typing import Annotated
 
-import anyio
 import typer
 from loguru import logger
 
 from ._daemon import run_daemon
 from ._logs import set_up_logs
+from ._loop import run_loop
 from ._settings_load import describe_settings, read_settings
 
 app = typer.Typer(add_completion=False, pretty_exceptions_show_locals=False)
@@ -38,7 +38,7 @@
     set_up_logs(level=loaded.value.log_level, as_json=loaded.value.log_format == "json")
     for line in describe_settings(loaded.value):
         logger.info("node: setting {}", line)
-    anyio.run(run_daemon, loaded.value)
+    run_loop(run_daemon, loaded.value)
 
 
 def main() -> None:
--- a/packages/endivebeam-node/src/endivebeam_node/_operations.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_operations.py
@@ -6,7 +6,7 @@
 import anyio
 from starlette.applications import Starlette
 
-from endivebeam_model import Address, ConfigVersion
+from endivebeam_model import Address, ConfigVersion, DomainName
 from endivebeam_store import ConfigLog, HttpObjects
 from endivebeam_wire import CountsKept, PeerStream, SendCounts
 
@@ -54,12 +54,15 @@
             on_withdrawn=on_withdrawn,
         )
         self._emergency = EmergencyWriter(
-            config=config, committer=self._committer, members=members
+            config=config,
+            committer=self._committer,
+            is_writer=lambda: members.is_first(1),
         )
         self._counter = MinuteCounter(node_id=settings.node_id)
         self._burn = BurnReporter(
             counter=self._counter,
-            members=members,
+            domain=DomainName(settings.domain),
+            find_writer=self._find_writer,
             send=self._send_batch,
             read=objects.read,
             write=objects.write,
@@ -77,12 +80,6 @@
             now = anyio.current_time()
             self.versions.record(stream.remote.node_id, version, now)
 
-    def hear_address(self, address: Address, version: ConfigVersion) -> None:
-        """Keep the configuration version that a node with a stream has."""
-        node_id = self._peers.find_node(address)
-        if node_id is not None:
-            self.versions.record(node_id, version, anyio.current_time())
-
     def receive_counts(self, sent: SendCounts) -> CountsKept:
         """Take the counts of another node of this failure domain."""
         batch = Batch(sender=sent.sender, minute=sent.minute, counts=tuple(sent.counts))
@@ -113,5 +110,9 @@
             read_object=self._objects.read,
         )
 
+    def _find_writer(self) -> Address | None:
+        first = self._members.first_of_domain()
+        return None if first is None else self._members.find_address(first)
+
     async def _send_batch(self, address: Address, batch: Batch) -> bool:
         return await send_batch(self._peers, address, batch)
--- a/packages/endivebeam-node/src/endivebeam_node/_settings.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_settings.py
@@ -37,6 +37,10 @@
 
     A port of 0 lets the kernel choose; the chosen port is logged and, with
     ``ports_file``, written to a file as JSON.
+
+    ``domains`` lists all failure domains of the fleet, by default only the own
+    one. It and ``share_groups`` must be equal on all nodes: they determine how
+    rates are split. ``share_ttl_s`` is the time to live of a share's lease.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -62,4 +66,7 @@
     log_format: Literal["text", "json"] = Field(
         default="text", description="use text or json"
     )
+    domains: list[str] = []
+    share_groups: int = Field(default=8, ge=1, le=4096)
+    share_ttl_s: float = Field(default=60.0, ge=1, le=86400)
     drain_timeout_s: float = Field(default=30.0, gt=0, le=600)
--- a/packages/endivebeam-store/src/endivebeam_store/__init__.py
+++ b/packages/endivebeam-store/src/endivebeam_store/__init__.py
@@ -1,7 +1,34 @@
 """Clients of the platform's table and object store, and what is kept there."""
 
-from ._config_log import ConfigLog
-from ._objects import HttpObjects
+from ._call_records import (
+    CallRecord,
+    CallState,
+    Claim,
+    Claimed,
+    Commit,
+    FirstAnswer,
+    Found,
+    Read,
+    ReadObject,
+    StoreAction,
+    Unconfirmed,
+    WriteObject,
+    answer_steps,
+    call_row_key,
+    claim_steps,
+    complete_steps,
+    decode_record,
+    digest_request,
+    perform,
+    release_steps,
+)
+from ._config_log import (
+    ConfigLog,
+)
+from ._objects import (
+    HttpObjects,
+    Objects,
+)
 from ._rows import (
     CommitError,
     Committed,
@@ -13,24 +40,70 @@
     Transaction,
     Unavailable,
 )
-from ._seeds import SEEDS_PER_DOMAIN, Seed, read_seeds, write_seed
-from ._table import HttpTable
+from ._seeds import (
+    SEEDS_PER_DOMAIN,
+    Seed,
+    read_seeds,
+    write_seed,
+)
+from ._shares import (
+    SHARE_PREFIX,
+    ShareConflict,
+    ShareRecord,
+    ShareWrite,
+    StoredShare,
+    read_share,
+    share_key,
+    write_shares,
+)
+from ._table import (
+    HttpTable,
+)
 
 __all__ = [
     "SEEDS_PER_DOMAIN",
+    "SHARE_PREFIX",
+    "CallRecord",
+    "CallState",
+    "Claim",
+    "Claimed",
+    "Commit",
     "CommitError",
     "Committed",
     "Condition",
     "ConfigLog",
     "Conflict",
+    "FirstAnswer",
+    "Found",
     "HttpObjects",
     "HttpTable",
+    "Objects",
     "Put",
+    "Read",
+    "ReadObject",
     "Row",
     "Seed",
+    "ShareConflict",
+    "ShareRecord",
+    "ShareWrite",
+    "StoreAction",
+    "StoredShare",
     "Table",
     "Transaction",
     "Unavailable",
+    "Unconfirmed",
+    "WriteObject",
+    "answer_steps",
+    "call_row_key",
+    "claim_steps",
+    "complete_steps",
+    "decode_record",
+    "digest_request",
+    "perform",
     "read_seeds",
+    "read_share",
+    "release_steps",
+    "share_key",
     "write_seed",
+    "write_shares",
 ]
--- a/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
@@ -1,30 +1,64 @@
 """Typed peer messages, their frames and the streams that carry them."""
 
-from ._codec import FrameError, FrameReader, encode_frame
-from ._messages import (
+from ._base import (
     MAX_BODY_BYTES,
     MAX_FRAME_BYTES,
     PROTOCOL_VERSION,
-    AskEntries,
+    Header,
+)
+from ._burn_messages import CountsKept, SendCounts
+from ._call_messages import (
+    AskOutcome,
     CallAnswer,
     CallRefused,
     CallRequest,
     CancelCall,
-    CountsKept,
+    LoadReport,
+    Outcome,
+    OutcomeState,
+)
+from ._codec import (
+    FrameError,
+    FrameReader,
+    encode_frame,
+)
+from ._fleet_messages import (
+    AskEntries,
+    AskSnapshot,
+    DigestReply,
+    DigestRequest,
     Entries,
-    Header,
+    ExchangeLeaves,
     Heartbeat,
     HeartbeatEcho,
     Hello,
-    LoadReport,
-    MemberList,
+    LeafRecords,
+    Rumor,
+    RumorAck,
+    SnapshotPiece,
+)
+from ._messages import (
     Message,
     Reply,
     Request,
-    SendCounts,
-    SyncMembers,
 )
-from ._streams import Answer, PeerStream, StreamFullError, StreamLostError
+from ._rate_messages import (
+    AskGrant,
+    BucketLevel,
+    Grant,
+    GrantReport,
+    HandOverShare,
+    RelayedRow,
+    RelayResult,
+    RelayStore,
+    ShareTaken,
+)
+from ._streams import (
+    Answer,
+    PeerStream,
+    StreamFullError,
+    StreamLostError,
+)
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -32,27 +66,45 @@
     "PROTOCOL_VERSION",
     "Answer",
     "AskEntries",
+    "AskGrant",
+    "AskOutcome",
+    "AskSnapshot",
+    "BucketLevel",
     "CallAnswer",
     "CallRefused",
     "CallRequest",
     "CancelCall",
     "CountsKept",
+    "DigestReply",
+    "DigestRequest",
     "Entries",
+    "ExchangeLeaves",
     "FrameError",
     "FrameReader",
+    "Grant",
+    "GrantReport",
+    "HandOverShare",
     "Header",
     "Heartbeat",
     "HeartbeatEcho",
     "Hello",
+    "LeafRecords",
     "LoadReport",
-    "MemberList",
     "Message",
+    "Outcome",
+    "OutcomeState",
     "PeerStream",
+    "RelayResult",
+    "RelayStore",
+    "RelayedRow",
     "Reply",
     "Request",
+    "Rumor",
+    "RumorAck",
     "SendCounts",
+    "ShareTaken",
+    "SnapshotPiece",
     "StreamFullError",
     "StreamLostError",
-    "SyncMembers",
     "encode_frame",
 ]
--- /dev/null
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_fleet_messages.py
@@ -0,0 +1,148 @@
+"""Messages of membership and configuration."""
+
+from collections.abc import Sequence
+from typing import Annotated
+
+import msgspec
+
+from endivebeam_model import (
+    AgedMember,
+    ConfigVersion,
+    DomainName,
+    KeyDigest,
+    LogEntry,
+    Member,
+    NodeId,
+)
+
+from ._base import Body, PeerMessage
+
+RumorMembers = Annotated[tuple[Member, ...], msgspec.Meta(max_length=64)]
+RumorEntries = Annotated[tuple[LogEntry, ...], msgspec.Meta(max_length=64)]
+KeyDigests = Annotated[tuple[KeyDigest, ...], msgspec.Meta(max_length=4096)]
+Indexes = Annotated[tuple[int, ...], msgspec.Meta(max_length=256)]
+Digests = Annotated[list[int], msgspec.Meta(max_length=4096)]
+AgedMembers = Annotated[list[AgedMember], msgspec.Meta(max_length=4096)]
+
+
+class Hello(PeerMessage, frozen=True, kw_only=True, tag=1):
+    """Opens a stream in both directions."""
+
+    protocol: int
+    node_id: NodeId
+    incarnation: int
+    domain: DomainName
+
+
+class Heartbeat(PeerMessage, frozen=True, kw_only=True, tag=2):
+    """Asks for an echo; carries what may differ between two nodes."""
+
+    request_id: int
+    config_version: ConfigVersion = ConfigVersion(0)
+    member_digest: int = 0
+
+
+class HeartbeatEcho(PeerMessage, frozen=True, kw_only=True, tag=3):
+    """Answers a heartbeat.
+
+    Ages are in milliseconds. ``store_age_ms`` is the age of the latest
+    evidence that the platform's store answered anyone; -1 when there is none.
+    ``domain_ages_ms`` has the age of the latest contact with each domain.
+    """
+
+    request_id: int
+    config_version: ConfigVersion = ConfigVersion(0)
+    member_digest: int = 0
+    store_age_ms: int = -1
+    domain_ages_ms: dict[DomainName, int] = {}
+
+
+class AskEntries(PeerMessage, frozen=True, kw_only=True, tag=10):
+    """Asks for committed changes after a version."""
+
+    request_id: int
+    after: ConfigVersion
+
+
+class Entries(PeerMessage, frozen=True, kw_only=True, tag=11):
+    """Committed changes in order of version; may be fewer than asked for."""
+
+    request_id: int
+    entries: Sequence[LogEntry]
+
+
+class Rumor(PeerMessage, frozen=True, kw_only=True, tag=30):
+    """News that each node passes on once; the acknowledgement paces the sender."""
+
+    request_id: int
+    members: RumorMembers = ()
+    entries: RumorEntries = ()
+    withdrawn: KeyDigests = ()
+
+
+class RumorAck(PeerMessage, frozen=True, kw_only=True, tag=31):
+    """The rumors arrived."""
+
+    request_id: int
+
+
+class DigestRequest(PeerMessage, frozen=True, kw_only=True, tag=32):
+    """Asks for the digests below nodes of the receiver's hash tree.
+
+    ``withdrawn`` are the keys that the sender knows to be withdrawn ahead of
+    the configuration log. The sets are exchanged with the first level.
+    """
+
+    request_id: int
+    level: int
+    indexes: Indexes
+    withdrawn: KeyDigests = ()
+
+
+class DigestReply(PeerMessage, frozen=True, kw_only=True, tag=33):
+    """Digests of the children, sixteen for each index that was asked for."""
+
+    request_id: int
+    digests: Digests
+    withdrawn: KeyDigests = ()
+
+
+class ExchangeLeaves(PeerMessage, frozen=True, kw_only=True, tag=34):
+    """Sends the records of differing leaves and asks for the receiver's."""
+
+    request_id: int
+    leaves: Indexes
+    records: AgedMembers
+
+
+class LeafRecords(PeerMessage, frozen=True, kw_only=True, tag=35):
+    """The receiver's records of the leaves."""
+
+    request_id: int
+    records: AgedMembers
+
+
+class AskSnapshot(PeerMessage, frozen=True, kw_only=True, tag=36):
+    """Asks for a piece of an encoded snapshot.
+
+    ``version`` 0 asks for the first piece of the snapshot in force.
+    """
+
+    request_id: int
+    version: ConfigVersion = ConfigVersion(0)
+    offset: int = 0
+
+
+class SnapshotPiece(PeerMessage, frozen=True, kw_only=True, tag=37):
+    """A piece of the snapshot of a version; its encoding is JSON.
+
+    A piece of another version than was asked for starts at offset 0 again.
+    ``size`` is the length of the whole encoding.
+    """
+
+    request_id: int
+    version: ConfigVersion
+    offset: int
+    size: int
+    data: Body
+    withdrawn: KeyDigests = ()
