--- a/packages/endivebeam-cli/src/endivebeam_cli/_session.py
+++ b/packages/endivebeam-cli/src/endivebeam_cli/_session.py
@@ -16,7 +16,7 @@
 from ._client import FleetClient
 from ._exits import Exit, ToolError
 
-NARROW_COLUMNS = 120
+PIPE_COLUMNS = 200
 
 
 class Format(Enum):
@@ -72,7 +72,7 @@
 
 def make_console() -> Console:
     """Return the console; pipes get lines wide enough for a table."""
-    return Console() if sys.stdout.isatty() else Console(width=NARROW_COLUMNS)
+    return Console() if sys.stdout.isatty() else Console(width=PIPE_COLUMNS)
 
 
 def make_table(columns: Sequence[str], rows: Iterable[Sequence[object]]) -> Table:
--- a/packages/endivebeam-node/tests/test_settings.py
+++ b/packages/endivebeam-node/tests/test_settings.py
@@ -1,5 +1,6 @@
 """Tests of settings and their findings."""
 
+import textwrap
 from pathlib import Path
 
 import pytest
@@ -11,6 +12,8 @@
     read_settings,
 )
 
+OPERATIONS = Path(__file__).parents[3] / "docs" / "operations.md"
+
 VALID = """\
 node_id: catalogue-1
 region: scot-central
@@ -67,6 +70,17 @@
         assert "cannot be read" in str(found.findings[0])
 
 
+class TestDocumentation:
+    def test_documented_settings_are_valid(self, tmp_path: Path):
+        """Guards against a page whose example ends in findings."""
+        text = OPERATIONS.read_text()
+        start = text.index("       node_id: ")
+        block = text[start : text.index("endivebeamd --check")]
+        example = textwrap.dedent(block).replace("<digest>", "a" * 64)
+        found = read_settings(write(tmp_path, example), {})
+        assert found.findings == []
+
+
 class TestEnvironment:
     def test_variables_override_the_file(self, tmp_path: Path):
         """Guards against replaced machines that need an edited file."""
