--- a/packages/endivebeam-node/src/endivebeam_node/_admin.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_admin.py
@@ -6,7 +6,7 @@
 import anyio
 import msgspec
 from loguru import logger
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -53,14 +53,14 @@
     StoreReply,
     VersionsReply,
 )
+from ._burn_read import MAX_RANGE, read_burn
+from ._burn_sync import ReadObject, read_minute
 from ._commits import (
     Accepted,
     Asked,
     Changed,
     Committer,
     Emergency,
-    OnCommitted,
-    OnWithdrawn,
     Refused,
     StoreDown,
 )
@@ -75,32 +75,33 @@
 MAX_VERSION = 2**53
 
 
+async def read_nothing(name: str) -> Result[bytes | None, Unavailable]:
+    """Find no object; for nodes without an object store."""
+    return Success(None)
+
+
 def build_admin_app(
     *,
     operators: list[Operator],
     config: ConfigCopy,
     members: Members,
     log: ConfigLog,
-    on_committed: OnCommitted,
-    on_withdrawn: OnWithdrawn,
+    committer: Committer,
     versions: HeardVersions | None = None,
     on_drain: Callable[[], None] = lambda: None,
     render_metrics: Callable[[], bytes] = lambda: b"",
+    read_object: ReadObject = read_nothing,
 ) -> Starlette:
     """Return the ASGI application of the administration API."""
     handlers = _Handlers(
         config=config,
         members=members,
         log=log,
-        committer=Committer(
-            config=config,
-            log=log,
-            on_committed=on_committed,
-            on_withdrawn=on_withdrawn,
-        ),
+        committer=committer,
         versions=versions or HeardVersions(),
         on_drain=on_drain,
         render_metrics=render_metrics,
+        read_object=read_object,
     )
     return Starlette(
         routes=[
@@ -140,6 +141,7 @@
         versions: HeardVersions,
         on_drain: Callable[[], None],
         render_metrics: Callable[[], bytes],
+        read_object: ReadObject,
     ) -> None:
         self._config = config
         self._members = members
@@ -148,6 +150,7 @@
         self._versions = versions
         self._on_drain = on_drain
         self._render_metrics = render_metrics
+        self._read_object = read_object
         self._draining = False
 
     async def read_health(self, request: Request, operator: object) -> Response:
@@ -271,6 +274,20 @@
                 return reply(StoreReply(reachable=False, message=message))
         return reply(StoreReply(reachable=True))
 
+    async def read_burn(self, request: Request, operator: object) -> Response:
+        now = read_minute()
+        last = read_number(request, "last", now, high=MAX_VERSION)
+        first = read_number(request, "first", last, high=MAX_VERSION)
+        if not first <= last < first + MAX_RANGE:
+            message = f"ask for 1 to {MAX_RANGE} minutes, the first one first"
+            raise fail(400, "bad_request", message)
+        domains = {member.domain for member in self._members.all()}
+        answer = await read_burn(self._read_object, domains, range(first, last + 1))
+        match answer:
+            case Failure(Unavailable(message=message)):
+                raise fail(503, "store_unavailable", f"{message}; try again")
+        return reply(answer.unwrap())
+
     async def drain(self, request: Request, operator: Operator) -> Response:
         asked = await read_body(request, DrainRequest)
         local = self._members.local.node_id
@@ -292,8 +309,9 @@
                 done = ChangeReply(version=entry.version, durable=True)
                 current = find_object(self._config.snapshot, body.change)
                 return reply(done, etag=make_tag(current))
-            case Emergency(version):
-                return reply(ChangeReply(version=version, durable=False), status=202)
+            case Emergency(version, durable):
+                done = ChangeReply(version=version, durable=durable)
+                return reply(done, status=200 if durable else 202)
             case Changed(version=version, current=current):
                 raise _conflict(version, current)
             case Refused(reasons):
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -48,9 +48,9 @@
     Reply,
     Request,
     Rumor,
+    SendCounts,
 )
 
-from ._admin import build_admin_app
 from ._admission import LocalAdmission
 from ._attempts import Known
 from ._callers import CallerHandler, error_response
@@ -65,9 +65,9 @@
 from ._limits import RateLimits
 from ._listening import Ports, listen, port_of, write_ports
 from ._members import Members
-from ._metrics import Metrics
 from ._nested import LocalHandler
 from ._once import OnceRunner, ask_outcome
+from ._operations import Operations
 from ._overlay import Overlay
 from ._peers import Peers
 from ._ports import Outcome
@@ -75,7 +75,6 @@
 from ._settings import Settings
 from ._stop import wait_for_stop
 from ._targets import Announcement, LocalTarget
-from ._versions import HeardVersions
 
 PORTS_CHECK_PERIOD_S = 0.05
 TARGET_CHECK_PERIOD_S = 0.2
@@ -97,9 +96,7 @@
         self.target = LocalTarget()
         self.in_flight = InFlight()
         self.members = Members(local=_local_member(settings), config=self.config)
-        self.versions = HeardVersions()
         self._stop = anyio.Event()
-        self.metrics = Metrics()
         self._client = httpx.AsyncClient(base_url=settings.platform_url, timeout=5.0)
         self.table = HttpTable(
             client=self._client, on_answer=self.members.store_answered
@@ -158,6 +155,17 @@
             ask=self._ask_outcome,
             report_load=self.admission.report,
         )
+        self.operations = Operations(
+            settings=settings,
+            config=self.config,
+            members=self.members,
+            peers=self.peers,
+            log=self.log,
+            objects=HttpObjects(client=self._client),
+            on_committed=self._on_committed,
+            on_withdrawn=self._on_withdrawn,
+            rng=self._rng,
+        )
         self.calls = CallPath(
             local=NodeId(settings.node_id),
             peers=self.peers,
@@ -181,7 +189,7 @@
             config=self.config,
             calls=self.calls,
             take_token=self.rates.take_token,
-            record=self.metrics.record,
+            record=self.operations.record,
             is_isolated=self._is_isolated,
         )
         self.local = LocalHandler(
@@ -198,7 +206,7 @@
             handler=self.local.handle, error_response=error_response
         )
         add_gauges(
-            self.metrics,
+            self.operations.metrics,
             config=self.config,
             members=self.members,
             calls=self.calls,
@@ -226,6 +234,7 @@
             servers.start_soon(self.rates.run)
             servers.start_soon(self.joining.run)
             servers.start_soon(self._watch_target)
+            servers.start_soon(self.operations.run)
             ports = Ports(
                 caller=port_of(caller),
                 local=port_of(local),
@@ -253,22 +262,13 @@
             await anyio.sleep(1.0)
             while self._busy():
                 await anyio.sleep(PORTS_CHECK_PERIOD_S)
+        await self.operations.finish()
         self.members.update_local(state=MemberState.LEFT)
         await anyio.sleep(LEFT_SPREAD_S)
         logger.info("node: drained")
 
     async def _serve_admin(self, listener: socket.socket) -> None:
-        app = build_admin_app(
-            operators=self.settings.operators,
-            config=self.config,
-            members=self.members,
-            log=self.log,
-            on_committed=self._on_committed,
-            on_withdrawn=self._on_withdrawn,
-            versions=self.versions,
-            on_drain=self._stop.set,
-            render_metrics=self.metrics.render,
-        )
+        app = self.operations.build_app(on_drain=self._stop.set)
         config = HypercornConfig()
         config.bind = [f"fd://{listener.fileno()}"]
         config.errorlog = None
@@ -282,9 +282,7 @@
                 outcome = await self.calls.serve(request)
                 return _with_id(outcome, request.request_id)
             case Heartbeat(request_id=request_id, config_version=version):
-                if stream.remote is not None:
-                    now = anyio.current_time()
-                    self.versions.record(stream.remote.node_id, version, now)
+                self.operations.hear_stream(stream, version)
                 self.overlay.take_heartbeat(stream)
                 if version > self.config.version:
                     self._tasks.start_soon(self.sync.pull, stream)
@@ -303,6 +301,8 @@
                 return self.once.answer(request)
             case AskGrant() | HandOverShare() | RelayStore():
                 return await self.rates.answer(request)
+            case SendCounts():
+                return self.operations.receive_counts(request)
 
     def _hello(self) -> Hello:
         local = self.members.local
@@ -314,9 +314,7 @@
         )
 
     def _on_echo(self, stream: PeerStream, echo: HeartbeatEcho, sent_at: float) -> None:
-        if stream.remote is not None:
-            now = anyio.current_time()
-            self.versions.record(stream.remote.node_id, echo.config_version, now)
+        self.operations.hear_stream(stream, echo.config_version)
         advice = self.overlay.take_echo(stream, echo, sent_at)
         self.sync.note_version(echo.config_version)
         if advice.pull:
--- a/packages/endivebeam-node/src/endivebeam_node/_members.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_members.py
@@ -81,6 +81,11 @@
         local = self.local
         return local.node_id in self.agent.table.overlay.first(local.domain, count)
 
+    def first_of_domain(self) -> NodeId | None:
+        """Return the first node of ring 0 of the domain; None for this node."""
+        first = self.agent.table.overlay.first(self.local.domain, 1)
+        return None if not first or first[0] == self.local.node_id else first[0]
+
     def rank(self, count: int) -> int | None:
         """Return the place among the first nodes of the domain, or None."""
         local = self.local
--- a/packages/endivebeam-node/tests/test_admin.py
+++ b/packages/endivebeam-node/tests/test_admin.py
@@ -21,6 +21,7 @@
     ConfigVersion,
     Contract,
     DomainName,
+    KeyDigest,
     Member,
     MemberState,
     NodeId,
@@ -34,6 +35,7 @@
 from endivebeam_node._admin import build_admin_app
 from endivebeam_node._commits import Accepted, Asked, Changed, Committer, StoreDown
 from endivebeam_node._config import ConfigCopy
+from endivebeam_node._emergency import EmergencyWriter
 from endivebeam_node._endpoints import ENDPOINTS
 from endivebeam_node._members import Members
 from endivebeam_node._openapi import Endpoint, dump_openapi
@@ -93,6 +95,7 @@
         self.config = ConfigCopy()
         self.versions = HeardVersions()
         self.drains = 0
+        self.writes_for_domain = False
         self.members = Members(
             local=make_member("node-1", "domain-a"),
             config=self.config,
@@ -106,6 +109,17 @@
         def count_drain() -> None:
             self.drains += 1
 
+        self.committer = Committer(
+            config=self.config,
+            log=self.log,
+            on_committed=lambda entry: self.config.apply([entry]),
+            on_withdrawn=withdraw,
+        )
+        self.emergency = EmergencyWriter(
+            config=self.config,
+            committer=self.committer,
+            is_writer=lambda: self.writes_for_domain,
+        )
         self.app = build_admin_app(
             operators=[
                 Operator(
@@ -118,8 +132,7 @@
             config=self.config,
             members=self.members,
             log=self.log,
-            on_committed=lambda entry: self.config.apply([entry]),
-            on_withdrawn=withdraw,
+            committer=self.committer,
             versions=self.versions,
             on_drain=count_drain,
         )
@@ -285,6 +298,41 @@
         assert digest in node.config.withdrawn
         assert node.change(put(), op_id="2", expected_version=0).status_code == 503
 
+    def test_withdrawal_reaches_the_log_when_the_store_is_back(
+        self, node: AdminNode, table: MemoryTable
+    ):
+        """Guards against a withdrawal that a restart of all nodes would lose."""
+        table.down = True
+        digest = "a" * 64
+        node.change({"type": "withdraw_key", "digest": digest})
+        anyio.run(node.emergency.write_pending)
+        assert node.send("GET", "/v1/status").json()["emergency_withdrawals"] == 1
+        table.down = False
+        anyio.run(node.emergency.write_pending)
+        assert node.send("GET", "/v1/status").json()["emergency_withdrawals"] == 0
+        (item,) = node.send("GET", "/v1/audit").json()["items"]
+        assert (item["operator"], item["op_id"]) == ("admin", "op")
+
+    @pytest.mark.parametrize("writes", [True, False])
+    def test_one_node_of_a_domain_writes_for_a_lost_one(
+        self, node: AdminNode, table: MemoryTable, writes: bool
+    ):
+        """Guards against a withdrawal lost with its node, and a write by each."""
+        node.writes_for_domain = writes
+        node.config.withdraw(KeyDigest("a" * 64))
+        anyio.run(node.emergency.write_pending)
+        assert ("config/head" in table.rows) == writes
+
+    def test_withdrawal_of_a_withdrawn_key_is_durable_without_the_store(
+        self, node: AdminNode, table: MemoryTable
+    ):
+        """Guards against a warning about a withdrawal that is in the log."""
+        change = {"type": "withdraw_key", "digest": "a" * 64}
+        node.change(change)
+        table.down = True
+        again = node.change(change, op_id="2")
+        assert (again.status_code, again.json()["durable"]) == (200, True)
+
 
 class TestReading:
     def test_pages_list_every_contract_once(self, node: AdminNode):
--- a/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
@@ -6,6 +6,7 @@
     PROTOCOL_VERSION,
     Header,
 )
+from ._burn_messages import CountsKept, SendCounts
 from ._call_messages import (
     AskOutcome,
     CallAnswer,
@@ -73,6 +74,7 @@
     "CallRefused",
     "CallRequest",
     "CancelCall",
+    "CountsKept",
     "DigestReply",
     "DigestRequest",
     "Entries",
@@ -99,6 +101,7 @@
     "Request",
     "Rumor",
     "RumorAck",
+    "SendCounts",
     "ShareTaken",
     "SnapshotPiece",
     "StreamFullError",
--- /dev/null
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_burn_messages.py
@@ -0,0 +1,28 @@
+"""Messages that carry counts of requests to the writer of a failure domain."""
+
+from collections.abc import Sequence
+from typing import Annotated
+
+import msgspec
+
+from endivebeam_model import AccountCounts
+
+from ._base import PeerMessage, ShortText
+
+MAX_COUNTS = 2048
+
+
+class SendCounts(PeerMessage, frozen=True, kw_only=True, tag=50):
+    """Sends a node's counts of one minute to the writer of its domain."""
+
+    request_id: int
+    sender: ShortText
+    minute: int
+    counts: Annotated[Sequence[AccountCounts], msgspec.Meta(max_length=MAX_COUNTS)]
+
+
+class CountsKept(PeerMessage, frozen=True, kw_only=True, tag=51):
+    """Says whether the counts are in the object store."""
+
+    request_id: int
+    kept: bool
--- a/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
@@ -5,6 +5,7 @@
 reused, so that a late reply cannot be taken for another one.
 """
 
+from ._burn_messages import CountsKept, SendCounts
 from ._call_messages import (
     AskOutcome,
     CallAnswer,
@@ -49,6 +50,7 @@
     | DigestRequest
     | ExchangeLeaves
     | AskSnapshot
+    | SendCounts
 )
 Reply = (
     HeartbeatEcho
@@ -63,5 +65,6 @@
     | DigestReply
     | LeafRecords
     | SnapshotPiece
+    | CountsKept
 )
 Message = Hello | CancelCall | Request | Reply
