Bound overlay messages and cut the cost of a node at rest

A batch of large changes could exceed a frame, whose error ended the sending task; entries are now limited by bytes. The isolation check built a list of all members for each keyed call; it now reads a count. Streams that carry no call for 60 s are closed, and idle loops wait for events instead of polling. New links get the own record at once, which otherwise waited for the comparison after 5 s.

--- a/packages/endivebeam-membership/src/endivebeam_membership/_agent.py
+++ b/packages/endivebeam-membership/src/endivebeam_membership/_agent.py
@@ -103,9 +103,16 @@
         digest = self.table.tree.root ^ self._withdrawn_digest
         return Beat(self.config.version, digest)
 
-    def ages(self, now: float) -> Ages:
-        """Return what an echo reports beside the beat."""
-        return Ages(self.contacts.domain_ages(now), self.contacts.store_age(now))
+    def ages(self, domain: DomainName, now: float) -> Ages:
+        """Return what an echo to a node of a domain reports beside the beat.
+
+        Contacts are told inside the domain only, because other domains have no
+        use for them and they are the largest part of an echo.
+        """
+        store = self.contacts.store_age(now)
+        if domain != self.table.local.domain:
+            return Ages(store=store)
+        return Ages(self.contacts.domain_ages(now), store)
 
     def hear_echo(
         self, peer: Member, beat: Beat, ages: Ages, *, sent_at: float, now: float
@@ -193,8 +200,14 @@
         self._links_stale = False
         overlay = self.table.overlay
         local = self.table.local.node_id
+        old = self.neighbors
         self.neighbors = tuple(overlay.links(local))
         self.rumors.set_neighbors(self.neighbors)
+        # What changed here before the link existed was told to other neighbors.
+        news = Batch((self.table.local,), withdrawn=tuple(self.config.withdrawn))
+        for node_id in self.neighbors:
+            if node_id not in old:
+                self.rumors.put_back(node_id, news)
         self.detector.watch(overlay.monitored(local), now)
         kept = set(self.neighbors)
         self._differs_since = {
--- a/packages/endivebeam-membership/src/endivebeam_membership/_overlay.py
+++ b/packages/endivebeam-membership/src/endivebeam_membership/_overlay.py
@@ -86,6 +86,9 @@
         if not self._first[domain]:
             del self._first[domain]
 
+    def __len__(self) -> int:
+        return len(self._domains)
+
     @property
     def domains(self) -> list[DomainName]:
         """Domains with live nodes, in order of name."""
--- a/packages/endivebeam-membership/src/endivebeam_membership/_rumors.py
+++ b/packages/endivebeam-membership/src/endivebeam_membership/_rumors.py
@@ -10,6 +10,7 @@
 
 MAX_QUEUED = 1024
 MAX_BATCH = 64
+MAX_BATCH_ENTRIES = 3
 MAX_SEEN = 8192
 
 K = TypeVar("K", bound=Hashable)
@@ -46,7 +47,8 @@
     def take(self) -> Batch:
         # Withdrawals and configuration first: they have the shortest bounds.
         withdrawn = _take(self.withdrawn, MAX_BATCH)
-        entries = _take(self.entries, MAX_BATCH)
+        # A change has up to 256 KiB, and a batch must fit into one frame.
+        entries = _take(self.entries, MAX_BATCH_ENTRIES)
         members = _take(self.members, MAX_BATCH)
         return Batch(
             members=tuple(member for _, member in members),
@@ -100,7 +102,7 @@
         return Batch() if outbox is None else outbox.take()
 
     def put_back(self, neighbor: NodeId, batch: Batch) -> None:
-        """Queue items again that could not be sent."""
+        """Queue items for one neighbor; records that wait there are newer."""
         outbox = self._outboxes.get(neighbor)
         if outbox is None:
             return
--- a/packages/endivebeam-node/src/endivebeam_node/_config_sync.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_config_sync.py
@@ -39,6 +39,9 @@
 MAX_SNAPSHOT_BYTES = 256 << 20
 MAX_ENTRIES = 256
 MAX_PASSED_ON = 16
+MAX_ENTRIES_BYTES = 768 << 10
+
+_encode = msgspec.msgpack.Encoder().encode
 
 
 def snapshot_name(number: int) -> str:
@@ -106,7 +109,7 @@
     def answer_entries(self, request: AskEntries) -> Entries:
         """Answer with recent changes; none when they are not kept any more."""
         entries = self._config.entries_after(request.after)[:MAX_ENTRIES]
-        return Entries(request_id=request.request_id, entries=entries)
+        return Entries(request_id=request.request_id, entries=_fit(entries))
 
     def answer_snapshot(self, request: AskSnapshot) -> SnapshotPiece:
         """Answer with a piece of the snapshot in force."""
@@ -249,3 +252,15 @@
             logger.warning("config: refused a malformed snapshot: {}", error)
             return
         self._config.install(snapshot)
+
+
+def _fit(entries: list[LogEntry]) -> list[LogEntry]:
+    """Return the first entries that fit into one frame together."""
+    left = MAX_ENTRIES_BYTES
+    fitting: list[LogEntry] = []
+    for entry in entries:
+        left -= len(_encode(entry))
+        if left < 0 and fitting:
+            break
+        fitting.append(entry)
+    return fitting
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -106,7 +106,7 @@
             hello=self._hello,
             heartbeat=lambda request_id: self.overlay.heartbeat(request_id),
             on_echo=self._on_echo,
-            on_lost=lambda stream: self.routes.lose(stream),
+            on_lost=self._on_lost,
             is_neighbor=lambda address: self.overlay.is_neighbor(address),
         )
         self.overlay = Overlay(
@@ -256,7 +256,7 @@
                 self.overlay.take_heartbeat(stream)
                 if version > self.config.version:
                     self._tasks.start_soon(self.sync.pull, stream)
-                return self.overlay.echo(request_id)
+                return self.overlay.echo(stream, request_id)
             case Rumor():
                 return self.overlay.take_rumor(stream, request)
             case DigestRequest():
@@ -283,6 +283,10 @@
         if advice.pull:
             self._tasks.start_soon(self.sync.pull, stream)
 
+    def _on_lost(self, stream: PeerStream) -> None:
+        self.overlay.lose(stream)
+        self.routes.lose(stream)
+
     def _on_announcement(self, announcement: Announcement) -> None:
         if self._stopping:
             return
--- a/packages/endivebeam-node/src/endivebeam_node/_members.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_members.py
@@ -109,7 +109,8 @@
         contacts = self.agent.contacts
         if self._is_recent(contacts.own_store_at):
             return False
-        return not self.live() or not self._is_recent(contacts.peer_at)
+        is_alone = len(self.agent.table.overlay) <= 1
+        return is_alone or not self._is_recent(contacts.peer_at)
 
     def update_local(
         self,
--- a/packages/endivebeam-node/src/endivebeam_node/_overlay.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_overlay.py
@@ -14,11 +14,12 @@
     find_differences,
     is_ended,
 )
-from endivebeam_model import Address, Member, MemberState, NodeId
+from endivebeam_model import Address, DomainName, Member, MemberState, NodeId
 from endivebeam_wire import (
     DigestReply,
     DigestRequest,
     ExchangeLeaves,
+    FrameError,
     Heartbeat,
     HeartbeatEcho,
     LeafRecords,
@@ -34,6 +35,7 @@
 
 TICK_S = 0.1
 RECONNECT_S = 0.25
+IDLE_CHECK_S = 5.0
 ASK_TIMEOUT_S = 2.0
 MAX_LEAVES = 32
 MAX_RECORDS = 1024
@@ -71,6 +73,11 @@
             self._reconcile()
             await anyio.sleep(TICK_S)
 
+    def lose(self, stream: PeerStream) -> None:
+        """Take a stream that ended; the link to its node is opened again."""
+        if stream.remote is not None:
+            self._wake(stream.remote.node_id)
+
     def is_neighbor(self, address: Address) -> bool:
         """Return whether a neighbor of the overlay has an address."""
         return address in self._addresses
@@ -84,10 +91,11 @@
             member_digest=beat.digest,
         )
 
-    def echo(self, request_id: int) -> HeartbeatEcho:
+    def echo(self, stream: PeerStream, request_id: int) -> HeartbeatEcho:
         """Return the answer to a heartbeat."""
         beat = self._agent.beat()
-        ages = self._agent.ages(anyio.current_time())
+        domain = DomainName("") if stream.remote is None else stream.remote.domain
+        ages = self._agent.ages(domain, anyio.current_time())
         return HeartbeatEcho(
             request_id=request_id,
             config_version=beat.version,
@@ -239,8 +247,7 @@
                     self._agent.rumors.put_back(node_id, batch)
                     return
                 continue
-            # Wakes up now and then to notice a stream that closed.
-            with anyio.move_on_after(RECONNECT_S):
+            with anyio.move_on_after(IDLE_CHECK_S):
                 await waker.wait()
 
     async def _send(self, stream: PeerStream, batch: Batch) -> bool:
@@ -255,6 +262,9 @@
                 await stream.ask(rumor)
         except (StreamLostError, StreamFullError, TimeoutError):
             return False
+        except FrameError as error:
+            # Sending it again would fail again; pulls and repair bring the content.
+            logger.error("members: dropped a rumor: {}", error)
         return True
 
     async def _probe(self, node_id: NodeId) -> None:
--- a/packages/endivebeam-node/src/endivebeam_node/_peers.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_peers.py
@@ -24,6 +24,7 @@
 HEARTBEAT_PERIOD_S = 0.5
 SILENCE_LIMIT_S = 1.0
 PAUSE_LIMIT_S = 0.5
+IDLE_LIMIT_S = 60.0
 MAX_STREAMS = 512
 MAX_ACCEPTED = 1024
 
@@ -63,6 +64,7 @@
         self._on_lost = on_lost
         self._is_neighbor = is_neighbor
         self._closing = False
+        self._retired: set[PeerStream] = set()
         self._streams: dict[Address, PeerStream] = {}
         self._opening: dict[Address, anyio.Lock] = {}
         self._accepted = 0
@@ -157,8 +159,9 @@
             tasks.cancel_scope.cancel()
         if self._streams.get(address) is stream:
             del self._streams[address]
-        if not self._closing:
+        if stream not in self._retired and not self._closing:
             self._on_lost(stream)
+        self._retired.discard(stream)
 
     async def _keep_alive(self, address: Address, stream: PeerStream) -> None:
         # A stream that went silent without FIN or RST is closed here, so that
@@ -166,6 +169,10 @@
         # only carry calls get heartbeats only while a call waits on them.
         while not stream.closed:
             if not (self._is_neighbor(address) or stream.waits):
+                if anyio.current_time() - stream.last_received_at > IDLE_LIMIT_S:
+                    self._retired.add(stream)
+                    await stream.close()
+                    return
                 await anyio.sleep(HEARTBEAT_PERIOD_S)
                 continue
             started = anyio.current_time()
--- a/packages/endivebeam-node/src/endivebeam_node/_routes.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_routes.py
@@ -14,6 +14,7 @@
 from ._ports import Observation
 
 PROBE_TICK_S = 0.1
+IDLE_TICK_S = 0.5
 
 
 class Routes:
@@ -66,7 +67,8 @@
         while True:
             for member in self._router.probes_due(anyio.current_time()):
                 self._tasks.start_soon(self._probe, member)
-            await anyio.sleep(PROBE_TICK_S)
+            busy = self._router.has_lost_targets
+            await anyio.sleep(PROBE_TICK_S if busy else IDLE_TICK_S)
 
     async def _probe(self, member: Member) -> None:
         hello = await self._peers.probe(member.address)
--- a/packages/endivebeam-routing/src/endivebeam_routing/_router.py
+++ b/packages/endivebeam-routing/src/endivebeam_routing/_router.py
@@ -108,6 +108,11 @@
         if (member.incarnation, member.state) != (old.incarnation, old.state):
             self._targets[member.node_id].restart_ramp(now)
 
+    @property
+    def has_lost_targets(self) -> bool:
+        """Whether any target gets only probes."""
+        return any(health.down for health in self._targets.values())
+
     def probes_due(self, now: float) -> list[Member]:
         """Return the targets to probe now, a few at a time."""
         due: list[Member] = []
--- a/packages/endivebeam-routing/tests/test_router.py
+++ b/packages/endivebeam-routing/tests/test_router.py
@@ -168,6 +168,17 @@
         chosen = choose_many(router, own + other, 200, WARM_S)
         assert set(chosen) == {m.node_id for m in own}
 
+    def test_own_domain_goes_first_while_it_has_spare_slots(self):
+        """Guards against calls that cross domains for nothing."""
+        router = make_router()
+        own, other = make_targets(2, "d0"), make_targets(2, "d1")
+        warm(router, own)
+        for member in other:
+            router.choose([member], WARM_S)
+            router.report(member.node_id, 0, 10, WARM_S)
+        chosen = choose_many(router, own + other, 15, WARM_S)
+        assert set(chosen) == {m.node_id for m in own}
+
     def test_reported_spare_slots_relieve_a_full_domain(self):
         """Guards against refusals while another domain offers spare slots."""
         router = make_router()
--- a/packages/endivebeam-standins/src/endivebeam_standins/_virtual.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_virtual.py
@@ -245,7 +245,7 @@
 
         def arrive(peer: VirtualNode) -> None:
             self._tell_dead(peer, node)
-            beat, ages = peer.agent.beat(), peer.agent.ages(self.now)
+            beat, ages = peer.agent.beat(), peer.agent.ages(node.domain, self.now)
             peer.bytes_sent += len(encode_frame(_to_echo(beat, ages)))
             self.send(
                 peer,
