Record decisions and figures of membership; close late connections in a drain

A process test found that a node stopped for 30 s instead of about 1.5 s: the target announced itself over a new connection during the first second of the drain, and that connection was never drained. The test also withdraws a key while the store is down, which is refused at every node and reaches the log when the store is back.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -259,10 +259,11 @@
         )
         print(f"{one.name:<20} {one.unit:<5} {cells}")
     print()
-    print("figure               unit  base + slope x nodes")
+    print("figure               unit  base + slope x nodes; largest / smallest size")
     for one in series:
         line = f"{one.base:.4g} + {one.slope_per_node:.4g} x nodes"
-        print(f"{one.name:<20} {one.unit:<5} {line}")
+        ratio = one.points[-1].median / one.points[0].median
+        print(f"{one.name:<20} {one.unit:<5} {line}; {ratio:.2f}")
     RESULTS.parent.mkdir(parents=True, exist_ok=True)
     RESULTS.write_bytes(msgspec.json.format(msgspec.json.encode(series), indent=1))
 
--- a/packages/endivebeam-membership/tests/test_detection.py
+++ b/packages/endivebeam-membership/tests/test_detection.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from endivebeam_membership import Contacts, Detector, Verdicts
-from endivebeam_model import DomainName, MemberState, NodeId
-from endivebeam_standins import VirtualFleet, VirtualNode, make_member
+from endivebeam_membership import Batch, Contacts, Detector, Verdicts
+from endivebeam_model import DomainName, KeyDigest, MemberState, NodeId
+from endivebeam_standins import VirtualFleet, VirtualNode, make_entry, make_member
 
 # Two workloads of 14 and 12 targets exist today, in three domains each.
 TODAY = 14
@@ -133,3 +133,25 @@
             return all(r is not None and r.slots == 7 for r in found)
 
         assert fleet.run_until(known, 12.0) <= 12.0
+
+    def test_change_of_a_dead_author_is_in_force_within_five_seconds(self, seed: int):
+        """Guards against a committed change that only its dead author knew."""
+        fleet = start_fleet(seed)
+        assert fleet.store.commit(make_entry(1, "op", 1.0))
+        took_s = fleet.run_until(
+            lambda: {n.agent.config.version for n in fleet.live()} == {1}, 5.0
+        )
+        assert took_s <= 5.0
+
+    def test_withdrawal_is_known_within_three_seconds(self, seed: int):
+        """Guards against a withdrawn key that works on with the store down."""
+        fleet = start_fleet(seed)
+        fleet.store.up = False
+        fleet.drop = 0.05
+        key = KeyDigest("key")
+        author = fleet.nodes[NodeId("n4")].agent
+        author.receive(Batch(withdrawn=(key,)), None, fleet.now)
+        took_s = fleet.run_until(
+            lambda: all(key in n.agent.config.withdrawn for n in fleet.live()), 3.0
+        )
+        assert took_s <= 3.0
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -203,6 +203,9 @@
             # Other nodes need time to learn of the drain before streams close.
             await anyio.sleep(1.0)
             while self._connections or len(self.in_flight):
+                # Also those opened meanwhile, such as the target's announcements.
+                for connection in list(self._connections):
+                    connection.drain()
                 await anyio.sleep(PORTS_CHECK_PERIOD_S)
         self.members.update_local(state=MemberState.LEFT)
         await anyio.sleep(LEFT_SPREAD_S)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,7 @@
 import httpx
 import pytest
 
+from endivebeam_model import digest_key
 from endivebeam_standins import Fleet, FleetNode, run_fleet, wait_for
 from endivebeam_standins.demo import Demo, put_contract, write_contracts
 
@@ -69,6 +70,37 @@
         )
 
 
+def withdraw_without_store(demo: Demo, entry: FleetNode) -> None:
+    """Withdraw a key while the store is down and follow it into the log."""
+    account = "glen-cycles"
+    digest = digest_key(demo.keys[account])
+    demo.fleet.set_faults("down")
+    with demo.fleet.admin(entry) as client:
+        body = {
+            "op_id": "withdraw-1",
+            "expected_version": client.get("/v1/config").json()["version"],
+            "change": {"type": "withdraw_key", "digest": digest},
+        }
+        answer = client.post("/v1/changes", json=body)
+    assert (answer.status_code, answer.json()["durable"]) == (202, False)
+    for node in demo.fleet.nodes:
+        wait_for(
+            lambda node=node: (
+                demo.call(node, "GET", "/bookings/items", account).status_code == 401
+            ),
+            f"key refused at {node.name}",
+        )
+    demo.fleet.set_faults("none")
+    for node in demo.fleet.nodes:
+        with demo.fleet.admin(node) as client:
+            wait_for(
+                lambda client=client: client.get("/v1/config").json()["keys"][digest][
+                    "withdrawn"
+                ],
+                f"withdrawal in the log at {node.name}",
+            )
+
+
 @pytest.mark.process
 class TestMembership:
     def test_no_call_is_lost_while_nodes_die_pause_and_stop(self, tmp_path: Path):
@@ -98,6 +130,8 @@
                 wait_for_state(fleet, paused, "serving", incarnation=2)
                 demo.wait_for_version(paused, version)
 
+                withdraw_without_store(demo, entry)
+
                 stopped.node.terminate()
                 wait_for_state(fleet, stopped, "left")
                 stopped.node.wait()
