Bring together groups of nodes that joined only each other

The state machine with 300 random examples found two restarted nodes that met only each other through their seeds and stayed apart from the fleet for longer than 40 s, because seeds are read every 60 s once a node has a peer. The first four nodes of ring 0 now read them every 5 s in the first minute after their start.

--- a/packages/endivebeam-membership/tests/test_detection.py
+++ b/packages/endivebeam-membership/tests/test_detection.py
@@ -121,6 +121,26 @@
         )
         assert reported_dead(fleet) == set()
 
+    def test_nodes_that_join_together_find_the_fleet(self, seed: int):
+        """Guards against joining nodes that meet only each other."""
+        fleet = start_fleet(seed)
+        everyone = sorted(fleet.nodes)
+        pair = [NodeId("n4"), NodeId("n7")]
+        for node_id in pair:
+            fleet.kill(fleet.nodes[node_id])
+        fleet.run(5.0)
+        for node_id, other in (pair, pair[::-1]):
+            fleet.start(node_id, "d1", known=[make_member(other, "d1")])
+        fleet.run(1.0)
+        # From here on the seeds are known; the pair already has a peer.
+        for node_id in pair:
+            fleet.nodes[node_id].seeds = [n for n in everyone if n != node_id]
+
+        def joined() -> bool:
+            return all(len(fleet.nodes[n].agent.table) == TODAY for n in pair)
+
+        assert fleet.run_until(joined, 30.0) <= 30.0
+
     def test_lost_rumor_is_repaired(self, seed: int):
         """Guards against a change that flooding lost and nothing else brings."""
         fleet = start_fleet(seed)
--- a/packages/endivebeam-node/src/endivebeam_node/_joining.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_joining.py
@@ -16,6 +16,8 @@
 
 JOIN_PERIOD_S = 1.0
 SEED_PERIOD_S = 60.0
+YOUNG_SEED_PERIOD_S = 5.0
+YOUNG_S = 60.0
 MAX_ASKED = 4
 
 
@@ -40,6 +42,7 @@
         self._rng = rng
         self._rank: int | None = None
         self._written_at: float | None = None
+        self._started_at = anyio.current_time()
 
     async def run(self) -> None:
         """Join, and refresh the seed rows until cancelled."""
@@ -58,7 +61,12 @@
             return False
         if rank != self._rank or self._written_at is None:
             return True
-        return anyio.current_time() - self._written_at >= SEED_PERIOD_S
+        # Nodes that start together may meet only each other at first. Reading
+        # the seeds more often while young ends such a split soon.
+        now = anyio.current_time()
+        young = now - self._started_at < YOUNG_S
+        period_s = YOUNG_SEED_PERIOD_S if young else SEED_PERIOD_S
+        return now - self._written_at >= period_s
 
     async def _read_seeds(self) -> list[Seed]:
         match await read_seeds(self._table):
--- a/packages/endivebeam-standins/src/endivebeam_standins/_virtual.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_virtual.py
@@ -32,6 +32,11 @@
 POLL_S = 1.0
 RETRY_S = 0.25
 POLLERS = 2
+LONELY_S = 3.0
+SEED_S = 60.0
+YOUNG_SEED_S = 5.0
+YOUNG_S = 60.0
+SEEDS_PER_DOMAIN = 4
 
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -77,14 +82,16 @@
             config=self._make_config(),
             now=self.now,
         )
-        node = VirtualNode(agent=agent)
+        node = VirtualNode(
+            agent=agent, started_at=self.now, met_at=self.now, seeds=seeds
+        )
         self.nodes[local.node_id] = node
         agent.receive(Batch(members=tuple(known)), None, self.now)
         agent.rumors.wake = lambda peer: self.flush(node, peer)
         offset = self.rng.random()
         self.after(offset * TICK_S, lambda: self._tick(node))
         self.after(offset * HEARTBEAT_S, lambda: self._heartbeat(node))
-        self.after(offset * POLL_S, lambda: self._poll(node, seeds))
+        self.after(offset * POLL_S, lambda: self._poll(node))
         return node
 
     def kill(self, node: VirtualNode) -> None:
@@ -296,15 +303,26 @@
 
         self.send(node, peer_id, arrive)
 
-    def _poll(self, node: VirtualNode, seeds: Sequence[NodeId]) -> None:
+    def _poll(self, node: VirtualNode) -> None:
         if not node.alive:
             return
         if not node.paused:
             self._read_head(node)
-            at = node.agent.contacts.peer_at
-            if seeds and (at is None or self.now - at > 3.0):
-                self.repair(node, self.rng.choice(list(seeds)))
-        self.after(POLL_S, lambda: self._poll(node, seeds))
+            self._meet(node)
+        self.after(POLL_S, lambda: self._poll(node))
+
+    def _meet(self, node: VirtualNode) -> None:
+        table = node.agent.table
+        at = node.agent.contacts.peer_at
+        lonely = at is None or self.now - at > LONELY_S
+        period_s = YOUNG_SEED_S if self.now - node.started_at < YOUNG_S else SEED_S
+        due = self.now - node.met_at >= period_s
+        known = {member.node_id for member in table.live()}
+        strange = [seed for seed in node.seeds if lonely or seed not in known]
+        first = table.overlay.first(node.domain, SEEDS_PER_DOMAIN)
+        if strange and (lonely or (due and node.node_id in first)):
+            node.met_at = self.now
+            self.repair(node, self.rng.choice(strange))
 
     def _read_head(self, node: VirtualNode) -> None:
         agent = node.agent
--- a/packages/endivebeam-standins/src/endivebeam_standins/_virtual_state.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_virtual_state.py
@@ -63,6 +63,9 @@
     agent: Agent
     alive: bool = True
     paused: bool = False
+    started_at: float = 0.0
+    met_at: float = 0.0
+    seeds: Sequence[NodeId] = ()
     inbox: list[Callable[[], None]] = field(default_factory=list)
     sending: set[NodeId] = field(default_factory=set)
     bytes_sent: int = 0
