Judge spare capacity without the ramp

To a node that just started every target looks cold, so that a tenth of the slots counted as full and calls left the domain. The ramp now counts in the score only. The test fails with the ramp in place; so does the one for the own domain when the rule is left out.

--- a/packages/endivebeam-routing/src/endivebeam_routing/_health.py
+++ b/packages/endivebeam-routing/src/endivebeam_routing/_health.py
@@ -140,12 +140,12 @@
         return max(float(self.outstanding), faded)
 
     def limit(self, slots: int, now: float) -> float:
-        """Return the calls the target may have now; a report only lowers it."""
+        """Return the calls the target may have; a report only lowers it."""
         known = max(1, slots)
         fresh = now - self._reported_at <= REPORT_LIFETIME_S
         if fresh and self._reported_limit > 0:
             known = min(known, self._reported_limit)
-        return known * self.ramp(now)
+        return float(known)
 
     def reports_spare(self, now: float) -> bool:
         """Return whether a fresh report of the target shows spare slots."""
--- a/packages/endivebeam-routing/src/endivebeam_routing/_router.py
+++ b/packages/endivebeam-routing/src/endivebeam_routing/_router.py
@@ -173,6 +173,8 @@
         return [m for m in members if m.region == self._region] or members
 
     def _has_spare(self, member: Member, now: float) -> bool:
+        # Without the ramp: to a node that just started every target looks cold,
+        # and its calls would cross domains for that alone.
         health = self._targets[member.node_id]
         return health.load(now) < health.limit(member.slots, now)
 
@@ -197,7 +199,7 @@
 
         def score(member: Member) -> float:
             health = self._targets[member.node_id]
-            capacity = health.limit(member.slots, now)
+            capacity = health.limit(member.slots, now) * health.ramp(now)
             trust = health.trust(now, usual_latency_s)
             return (health.load(now) + 1.0) / (capacity * trust)
 
--- a/packages/endivebeam-routing/tests/test_router.py
+++ b/packages/endivebeam-routing/tests/test_router.py
@@ -174,11 +174,21 @@
         own, other = make_targets(2, "d0"), make_targets(2, "d1")
         warm(router, own)
         for member in other:
-            router.choose([member], WARM_S)
+            answer(router, [member], WARM_S)
             router.report(member.node_id, 0, 10, WARM_S)
         chosen = choose_many(router, own + other, 15, WARM_S)
         assert set(chosen) == {m.node_id for m in own}
 
+    def test_a_new_node_stays_in_its_domain(self):
+        """Guards against calls that cross domains because all targets look cold."""
+        router = make_router()
+        own, other = make_targets(2, "d0"), make_targets(2, "d1")
+        for member in other:
+            answer(router, [member], 0.0)
+            router.report(member.node_id, 0, 10, 0.0)
+        chosen = choose_many(router, own + other, 15, 0.0)
+        assert set(chosen) == {m.node_id for m in own}
+
     def test_reported_spare_slots_relieve_a_full_domain(self):
         """Guards against refusals while another domain offers spare slots."""
         router = make_router()
