--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -108,7 +108,7 @@
             hello=self._hello,
             heartbeat=lambda request_id: self.overlay.heartbeat(request_id),
             on_echo=self._on_echo,
-            on_lost=lambda stream: self.routes.lose(stream),
+            on_lost=self._on_lost,
             is_neighbor=lambda address: self.overlay.is_neighbor(address),
         )
         self.overlay = Overlay(
@@ -261,6 +261,8 @@
             # Other nodes need time to learn of the drain before streams close.
             await anyio.sleep(1.0)
             while self._busy():
+                # Also connections that were opened after the drain began.
+                self._caller_server.drain()
                 await anyio.sleep(PORTS_CHECK_PERIOD_S)
         await self.operations.finish()
         self.members.update_local(state=MemberState.LEFT)
@@ -286,7 +288,7 @@
                 self.overlay.take_heartbeat(stream)
                 if version > self.config.version:
                     self._tasks.start_soon(self.sync.pull, stream)
-                return self.overlay.echo(request_id)
+                return self.overlay.echo(stream, request_id)
             case Rumor():
                 return self.overlay.take_rumor(stream, request)
             case DigestRequest():
@@ -320,6 +322,10 @@
         if advice.pull:
             self._tasks.start_soon(self.sync.pull, stream)
 
+    def _on_lost(self, stream: PeerStream) -> None:
+        self.overlay.lose(stream)
+        self.routes.lose(stream)
+
     def _on_announcement(self, announcement: Announcement) -> None:
         if self._stopping:
             return
--- a/packages/endivebeam-routing/src/endivebeam_routing/_router.py
+++ b/packages/endivebeam-routing/src/endivebeam_routing/_router.py
@@ -108,6 +108,11 @@
         if (member.incarnation, member.state) != (old.incarnation, old.state):
             self._targets[member.node_id].restart_ramp(now)
 
+    @property
+    def has_lost_targets(self) -> bool:
+        """Whether any target gets only probes."""
+        return any(health.down for health in self._targets.values())
+
     def probes_due(self, now: float) -> list[Member]:
         """Return the targets to probe now, a few at a time."""
         due: list[Member] = []
@@ -168,6 +173,8 @@
         return [m for m in members if m.region == self._region] or members
 
     def _has_spare(self, member: Member, now: float) -> bool:
+        # Without the ramp: to a node that just started every target looks cold,
+        # and its calls would cross domains for that alone.
         health = self._targets[member.node_id]
         return health.load(now) < health.limit(member.slots, now)
 
@@ -192,7 +199,7 @@
 
         def score(member: Member) -> float:
             health = self._targets[member.node_id]
-            capacity = health.limit(member.slots, now)
+            capacity = health.limit(member.slots, now) * health.ramp(now)
             trust = health.trust(now, usual_latency_s)
             return (health.load(now) + 1.0) / (capacity * trust)
 
