Reach late cancellation and late completion in the state machine

Cause: of 15 single mechanisms removed in a scratch copy, two went unnoticed: the check for a stop directly before the dispatch, and the second read before outcome_unknown.

Change: a stop may be delivered after the next step; a directed order of events has the call end while its node is asked.

--- a/packages/endivebeam-node/tests/test_once_machine.py
+++ b/packages/endivebeam-node/tests/test_once_machine.py
@@ -184,13 +184,16 @@
         if isinstance(run.action, Commit) and run.steps is not None:
             self.store.perform(run.action, fault)
 
-    def stop(self, run: Run, fault: StoreFault) -> None:
-        """The caller leaves or its deadline passes."""
+    def stop(self, run: Run, fault: StoreFault, delivered: bool) -> None:
+        """The caller leaves or its deadline passes.
+
+        A result that arrived before the cancellation lets the steps go on.
+        """
         assert run.attempt is not None
         not_run = self.nodes[run.node].stop(run.attempt)
         status = RunStatus.NOT_RUN if not_run else RunStatus.UNKNOWN
         run.told = refuse(RefusalReason.DEADLINE_EXCEEDED, "late", run=status)
-        if run.attempt.stopped:
+        if run.attempt.stopped and delivered:
             self.send_pending(run, fault)
             self.settle(run)
 
@@ -254,12 +257,12 @@
                 self.world.step(run, StoreFault.NONE, verdict)
 
     @precondition(lambda self: self.live())
-    @rule(pick=st.integers(0, 99), fault=faults)
-    def stop(self, pick: int, fault: StoreFault) -> None:
+    @rule(pick=st.integers(0, 99), fault=faults, delivered=st.booleans())
+    def stop(self, pick: int, fault: StoreFault, delivered: bool) -> None:
         live = self.live()
         run = live[pick % len(live)]
         if run.told is None:
-            self.world.stop(run, fault)
+            self.world.stop(run, fault, delivered)
 
     @precondition(lambda self: self.live())
     @rule(pick=st.integers(0, 99))
@@ -326,6 +329,44 @@
     settings = settings(max_examples=300, stateful_step_count=40)
 
 
+class TestRaces:
+    """Orders of events that random steps reach too rarely."""
+
+    def test_call_ends_while_its_node_is_asked(self):
+        """Guards against calling an outcome unknown that the table has."""
+        world = World()
+        first = world.start("n0", "k0", BODIES[0])
+        world.step(first, StoreFault.NONE, "answer")
+        retry = world.start("n1", "k0", BODIES[0])
+        world.step(retry, StoreFault.NONE, "answer")
+        assert isinstance(retry.action, Ask)
+        while first.live:
+            world.step(first, StoreFault.NONE, "answer")
+        world.kill("n0", StoreFault.NONE)
+        while retry.live:
+            world.step(retry, StoreFault.NONE, "answer")
+        assert isinstance(retry.told, CallAnswer)
+
+    def test_outage_leaves_one_claim_to_release(self):
+        """Guards against a claim to release for every call of an outage."""
+        world = World()
+        for number in range(20):
+            run = world.start("n0", f"k{number}", BODIES[0])
+            while not run.settling:
+                world.step(run, StoreFault.DOWN, "answer")
+            assert run.told.refusal.reason is RefusalReason.STORE_UNAVAILABLE
+        assert sum(run.live for run in world.runs) == 1
+
+    def test_open_calls_are_bounded(self):
+        """Guards against unbounded memory when answers cannot be stored."""
+        attempts = Attempts(node=NodeId("n"), new_op_id=lambda: "op", max_open=1)
+        call = make_call("k0", BODIES[0])
+        assert isinstance(attempts.open(call, expired=lambda: False), Attempt)
+        refused = attempts.open(call, expired=lambda: False)
+        assert isinstance(refused, CallRefused)
+        assert refused.refusal.reason is RefusalReason.OVERLOADED
+
+
 class TestNaive:
     """Guards against any difference from a dictionary when nothing fails."""
 
