--- a/packages/endivebeam-store/src/endivebeam_store/_http.py
+++ b/packages/endivebeam-store/src/endivebeam_store/_http.py
@@ -7,7 +7,7 @@
 
 from ._rows import Unavailable
 
-# Answers are read as they are, so that the size limit counts the bytes received.
+# Without compression a short answer cannot expand beyond the size limit.
 _FIELDS = {"accept-encoding": "identity"}
 
 
@@ -49,7 +49,7 @@
 
 async def _read_bounded(response: httpx.Response, max_bytes: int) -> bytes | None:
     content = bytearray()
-    async for chunk in response.aiter_raw():
+    async for chunk in response.aiter_bytes():
         content += chunk
         if len(content) > max_bytes:
             return None
