Test at-most-once calls in a fleet with a faulty store

Change: the platform stand-in fails per kind of operation, per name and per count, applies writes late and answers 500 after a write; the target stand-in may delay the answer of a deposit.

--- a/packages/endivebeam-standins/src/endivebeam_standins/_fleet.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_fleet.py
@@ -141,9 +141,12 @@
         self.nodes.append(fleet_node)
         return fleet_node
 
-    def set_faults(self, mode: str, delay_ms: int = 0) -> None:
-        """Make the platform misbehave."""
-        body = {"mode": mode, "delay_ms": delay_ms}
+    def set_faults(self, mode: str, delay_ms: int = 0, **selection: object) -> None:
+        """Make the platform misbehave, for selected operations only if given.
+
+        The selection is ``kinds``, ``prefix`` and ``count``.
+        """
+        body = {"mode": mode, "delay_ms": delay_ms, **selection}
         httpx.put(f"{self.platform_url}/v1/faults", json=body).raise_for_status()
 
     def admin(self, node: FleetNode) -> httpx.Client:
--- a/packages/endivebeam-standins/src/endivebeam_standins/_platform.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_platform.py
@@ -1,5 +1,6 @@
 """Stand-in of the platform: a transactional table and an object store."""
 
+from collections.abc import Callable
 from enum import Enum
 
 import anyio
@@ -9,6 +10,9 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+# Longer than any client waits for an answer.
+LOST_ANSWER_S = 60.0
+
 
 class FaultMode(Enum):
     """How the platform misbehaves."""
@@ -17,13 +21,47 @@
     DOWN = "down"
     SLOW = "slow"
     LOSE_ANSWERS = "lose_answers"
+    DROP = "drop"
+    LATE = "late"
+    ERROR = "error"
+
+
+class Kind(Enum):
+    """Kind of an operation on the platform."""
 
+    READ = "read"
+    SCAN = "scan"
+    COMMIT = "commit"
+    READ_OBJECT = "read_object"
+    WRITE_OBJECT = "write_object"
 
-class Faults(msgspec.Struct, frozen=True, kw_only=True):
-    """Fault to show; ``delay_ms`` counts for ``slow``."""
+
+class Faults(msgspec.Struct, kw_only=True):
+    """Fault to show, and the operations that it affects.
+
+    ``slow`` waits ``delay_ms`` before the operation. Writes: ``lose_answers``
+    takes effect without an answer, ``drop`` has neither, ``late`` takes effect
+    after ``delay_ms`` without an answer, ``error`` takes effect and answers
+    500. Reads are affected by ``down``, ``slow``, ``drop`` and ``error``.
+    Empty ``kinds`` mean all; ``prefix`` selects rows and objects by name;
+    ``count`` is the number of operations that are still affected.
+    """
 
     mode: FaultMode = FaultMode.NONE
     delay_ms: int = 0
+    kinds: list[Kind] = []
+    prefix: str = ""
+    count: int | None = None
+
+    def take(self, kind: Kind, name: str) -> FaultMode:
+        """Return the fault of one operation and count it."""
+        if self.kinds and kind not in self.kinds:
+            return FaultMode.NONE
+        if not name.startswith(self.prefix) or self.count == 0:
+            return FaultMode.NONE
+        if self.count is not None:
+            self.count -= 1
+        return self.mode
 
 
 class StoredRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -120,50 +158,55 @@
         self._state = state
 
     async def read_row(self, request: Request) -> Response:
-        if await self._misbehave():
-            return Response(status_code=503)
-        self._state.counters.reads += 1
-        row = self._state.rows.get(request.path_params["key"])
+        key = request.path_params["key"]
+        failed = await self._fail_read(Kind.READ, key)
+        if failed is not None:
+            return failed
+        row = self._state.rows.get(key)
         if row is None:
             return Response(status_code=404)
         return _json(row)
 
     async def scan(self, request: Request) -> Response:
-        if await self._misbehave():
-            return Response(status_code=503)
-        self._state.counters.reads += 1
         prefix = request.query_params.get("prefix", "")
+        failed = await self._fail_read(Kind.SCAN, prefix)
+        if failed is not None:
+            return failed
         limit = int(request.query_params.get("limit", "1000"))
         keys = sorted(k for k in self._state.rows if k.startswith(prefix))
         return _json(Rows(rows=[self._state.rows[key] for key in keys[:limit]]))
 
     async def commit(self, request: Request) -> Response:
         body = msgspec.json.decode(await request.body(), type=TransactionBody)
-        if await self._misbehave():
-            return Response(status_code=503)
-        conflicts = self._state.commit(body)
-        if self._state.faults.mode is FaultMode.LOSE_ANSWERS:
-            await anyio.sleep(60)
-        if conflicts is not None:
-            return _json(Rows(rows=conflicts), status=409)
-        return Response(status_code=200)
+
+        def apply() -> Response:
+            conflicts = self._state.commit(body)
+            if conflicts is not None:
+                return _json(Rows(rows=conflicts), status=409)
+            return Response(status_code=200)
+
+        return await self._write(Kind.COMMIT, body.puts[0].key, apply)
 
     async def read_object(self, request: Request) -> Response:
-        if await self._misbehave():
-            return Response(status_code=503)
-        self._state.counters.reads += 1
-        content = self._state.objects.get(request.path_params["name"])
+        name = request.path_params["name"]
+        failed = await self._fail_read(Kind.READ_OBJECT, name)
+        if failed is not None:
+            return failed
+        content = self._state.objects.get(name)
         if content is None:
             return Response(status_code=404)
         return Response(content)
 
     async def write_object(self, request: Request) -> Response:
         content = await request.body()
-        if await self._misbehave():
-            return Response(status_code=503)
-        self._state.counters.writes += 1
-        self._state.objects[request.path_params["name"]] = content
-        return Response(status_code=201)
+        name = request.path_params["name"]
+
+        def apply() -> Response:
+            self._state.counters.writes += 1
+            self._state.objects[name] = content
+            return Response(status_code=201)
+
+        return await self._write(Kind.WRITE_OBJECT, name, apply)
 
     async def set_faults(self, request: Request) -> Response:
         body = await request.body()
@@ -173,11 +216,40 @@
     async def read_counters(self, request: Request) -> Response:
         return _json(self._state.counters)
 
-    async def _misbehave(self) -> bool:
+    async def _fail_read(self, kind: Kind, name: str) -> Response | None:
         faults = self._state.faults
-        if faults.mode is FaultMode.SLOW:
-            await anyio.sleep(faults.delay_ms / 1000)
-        return faults.mode is FaultMode.DOWN
+        match faults.take(kind, name):
+            case FaultMode.DOWN:
+                return Response(status_code=503)
+            case FaultMode.ERROR:
+                return Response(status_code=500)
+            case FaultMode.DROP:
+                await anyio.sleep(LOST_ANSWER_S)
+            case FaultMode.SLOW:
+                await anyio.sleep(faults.delay_ms / 1000)
+        self._state.counters.reads += 1
+        return None
+
+    async def _write(
+        self, kind: Kind, name: str, apply: Callable[[], Response]
+    ) -> Response:
+        faults = self._state.faults
+        mode = faults.take(kind, name)
+        if mode is FaultMode.DOWN:
+            return Response(status_code=503)
+        if mode is FaultMode.DROP:
+            await anyio.sleep(LOST_ANSWER_S)
+            return Response(status_code=503)
+        if mode in (FaultMode.SLOW, FaultMode.LATE):
+            # The client may close the connection; the write still arrives.
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(faults.delay_ms / 1000)
+                answer = apply()
+        else:
+            answer = apply()
+        if mode in (FaultMode.LOSE_ANSWERS, FaultMode.LATE):
+            await anyio.sleep(LOST_ANSWER_S)
+        return Response(status_code=500) if mode is FaultMode.ERROR else answer
 
 
 def _json(value: msgspec.Struct, *, status: int = 200) -> Response:
--- a/packages/endivebeam-standins/src/endivebeam_standins/target.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/target.py
@@ -45,9 +45,14 @@
 
 
 class Control(msgspec.Struct, frozen=True, kw_only=True):
-    """Behaviour that tests switch: service time, refusals and failures."""
+    """Behaviour that tests switch: service time, refusals and failures.
+
+    ``answer_delay_ms`` passes between a deposit's entry in the ledger and its
+    answer.
+    """
 
     service_time_ms: float = 0.0
+    answer_delay_ms: float = 0.0
     refuse: bool = False
     fail: bool = False
 
@@ -126,6 +131,7 @@
         if path == "/deposits" and request.method == "POST":
             key = request.get(b"idempotency-key") or b""
             self.executions[key.decode()] += 1
+            await anyio.sleep(self.control.answer_delay_ms / 1000)
         if path.startswith("/chain/"):
             return await self._call_next(request)
         return _json(self._echo(request))
