End a planned stop of the node without an error

Cause: cancelling the administration server raised an error inside hypercorn, so that every planned stop of a node ended with exit code 1.

--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -1,5 +1,7 @@
 """Composition and life cycle of the daemon."""
 
+import asyncio
+import contextlib
 import random
 import secrets
 import signal
@@ -235,9 +237,12 @@
         config = HypercornConfig()
         config.bind = [f"fd://{listener.fileno()}"]
         config.errorlog = None
-        await serve_asgi(
-            cast(ASGIFramework, app), config, shutdown_trigger=anyio.sleep_forever
-        )
+        # A cancelled hypercorn server asks its tasks for an exception that they
+        # do not have; a planned stop must not end with that error.
+        with contextlib.suppress(asyncio.InvalidStateError):
+            await serve_asgi(
+                cast(ASGIFramework, app), config, shutdown_trigger=anyio.sleep_forever
+            )
 
     async def _answer(self, stream: PeerStream, request: Request) -> Reply:
         match request:
