--- a/packages/endivebeam-node/src/endivebeam_node/_once.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_once.py
@@ -22,7 +22,6 @@
 )
 from endivebeam_wire import (
     AskOutcome,
-    CallAnswer,
     CallRefused,
     CallRequest,
     Header,
@@ -141,8 +140,9 @@
     async def _conclude(self, owned: _Owned) -> Outcome:
         if owned.outcome is None:
             return _deadline_exceeded(not_run=self._stop(owned))
-        if isinstance(owned.outcome, CallAnswer) or owned.attempt.claim is not None:
-            # An answer that is stored first can be given again by any node.
+        if owned.attempt.confirmed:
+            # Once the answer is stored, or the claim released, every node can
+            # serve a retry.
             limit = min(owned.deadline, anyio.current_time() + STORE_WAIT_S)
             with anyio.CancelScope(deadline=limit):
                 await owned.settled.wait()
