Recognize a killed node by its refused connection

Cause: anyio wraps a refused connection in an error of its own, so a retry was told call_in_progress until membership declared the node dead.

Change: the causes of the error are searched for the refusal.

--- a/packages/endivebeam-node/src/endivebeam_node/_once.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_once.py
@@ -273,8 +273,7 @@
                 AskOutcome(request_id=stream.next_id(), op_id=op_id)
             )
         except UnreachableError as error:
-            refused = isinstance(error.__cause__, ConnectionRefusedError)
-            return UNKNOWN if refused else RUNNING
+            return UNKNOWN if _is_refused(error) else RUNNING
         except (StreamLostError, StreamFullError):
             return RUNNING
         if isinstance(reply, OutcomeReply):
@@ -282,6 +281,15 @@
     return RUNNING
 
 
+def _is_refused(error: BaseException | None) -> bool:
+    # anyio reports a refused connection as the cause of its own error.
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
+
+
 def _to_known(reply: OutcomeReply) -> Known:
     if reply.state is not OutcomeState.ANSWERED:
         return Known(reply.state)
--- a/packages/endivebeam-node/tests/test_run_status.py
+++ b/packages/endivebeam-node/tests/test_run_status.py
@@ -1,13 +1,14 @@
 """What callers are told about calls that may have run."""
 
-from collections.abc import AsyncIterator
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 
 import anyio
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Result, Success
 
@@ -21,6 +22,7 @@
     Member,
     MemberState,
     NodeId,
+    OperationId,
     Refusal,
     RefusalReason,
     RegionName,
@@ -31,13 +33,15 @@
 )
 from endivebeam_node._calls import CallPath
 from endivebeam_node._nested import _nested_key
-from endivebeam_node._once import OnceRunner
+from endivebeam_node._once import OnceRunner, ask_outcome
 from endivebeam_node._outcomes import NO_LOAD, refuse
+from endivebeam_node._peers import Peers
 from endivebeam_node._ports import Outcome
 from endivebeam_standins import FakeStore
-from endivebeam_wire import CallAnswer, CallRefused, CallRequest
+from endivebeam_wire import CallAnswer, CallRefused, CallRequest, OutcomeState
 
 LOCAL = NodeId("n")
+TEST_LIMIT_S = 10.0
 
 # Outcomes of an attempt: its reason, its run status, and whether it ran.
 ATTEMPTS = [
@@ -76,7 +80,7 @@
     )
 
 
-def local_member(service: ServiceName, excluded: frozenset[NodeId]) -> Member:
+def local_member(service: ServiceName) -> Member:
     return Member(
         node_id=LOCAL,
         incarnation=1,
@@ -95,23 +99,27 @@
     yield Success(None)
 
 
-def make_path(forward: Any, run_once: Any = None) -> CallPath:
+def make_path(forward: Any, choose: Any) -> CallPath:
     unused: Any = None
     return CallPath(
         local=LOCAL,
         peers=unused,
-        choose=local_member,
+        choose=choose,
         observe=lambda node, observation: None,
         admit=admit,
         forward=forward,
-        run_once=run_once,
+        run_once=unused,
     )
 
 
 class TestRetriedCall:
-    @given(attempts=st.lists(st.sampled_from(ATTEMPTS), max_size=8))
+    @settings(max_examples=300)
+    @given(
+        attempts=st.lists(st.sampled_from(ATTEMPTS), max_size=8),
+        targets=st.sampled_from([0, 1, 2, 99, 99]),
+    )
     def test_not_run_covers_all_attempts(
-        self, attempts: list[tuple[RefusalReason, RunStatus, bool]]
+        self, attempts: list[tuple[RefusalReason, RunStatus, bool]], targets: int
     ):
         """Guards against "not run" when only the last attempt did not run."""
         waiting = list(attempts)
@@ -124,8 +132,11 @@
             ran.append(did_run)
             return refuse(reason, "", run=run, credits=call.retry_credits)
 
+        def choose(service: ServiceName, excluded: frozenset[NodeId]) -> Member | None:
+            return local_member(service) if len(ran) < targets else None
+
         call = make_call(Semantics.IDEMPOTENT)
-        outcome = anyio.run(make_path(forward).route, call)
+        outcome = anyio.run(make_path(forward, choose).route, call)
         match outcome:
             case CallRefused(refusal=refusal) if refusal.run is RunStatus.NOT_RUN:
                 assert not any(ran)
@@ -174,7 +185,7 @@
                 assert isinstance(answer, CallAnswer)
                 assert (answer.body, len(runs)) == (b"first", 1)
 
-        anyio.run(run)
+        anyio.run(run_bounded, run)
 
     def test_call_stopped_in_the_queue_never_runs(self):
         """Guards against running a call whose caller was told "not run"."""
@@ -199,7 +210,7 @@
                 assert outcome.refusal.run is RunStatus.NOT_RUN
             assert (runs, len(once)) == ([], 0)
 
-        anyio.run(run)
+        anyio.run(run_bounded, run)
 
     def test_failure_inside_the_node_is_unknown(self):
         """Guards against a crash of the node, or "not run", after an error."""
@@ -217,7 +228,13 @@
                     assert outcome.refusal.run is RunStatus.UNKNOWN
                     assert outcome.refusal.reason.value == reason
 
-        anyio.run(run)
+        anyio.run(run_bounded, run)
+
+
+async def run_bounded(function: Callable[[], Awaitable[None]]) -> None:
+    """Turn a hang into a failure."""
+    with anyio.fail_after(TEST_LIMIT_S):
+        await function()
 
 
 def make_runner(tasks: anyio.abc.TaskGroup) -> OnceRunner:
@@ -232,6 +249,30 @@
     )
 
 
+class TestAskOutcome:
+    def test_node_that_refuses_connections_is_gone(self):
+        """Guards against retries that wait for a killed node."""
+
+        async def run() -> None:
+            unused: Any = None
+            async with anyio.create_task_group() as tasks:
+                peers = Peers(
+                    tasks=tasks,
+                    answer=unused,
+                    hello=unused,
+                    heartbeat=unused,
+                    on_echo=unused,
+                )
+                with socket.socket() as bound:
+                    bound.bind(("127.0.0.1", 0))
+                    address = Address("127.0.0.1", bound.getsockname()[1])
+                    op_id = OperationId("op")
+                    known = await ask_outcome(peers, address, op_id)
+                    assert known.state is OutcomeState.UNKNOWN
+
+        anyio.run(run_bounded, run)
+
+
 class TestNestedKey:
     def test_key_depends_on_the_parent_and_the_nested_request(self):
         """Guards against two different nested deposits taken for one."""
