Build the runner of at-most-once calls outside the daemon module

Change: the runner's table, objects and question to other nodes are put together in its own module; no change of behaviour.

--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -29,13 +29,12 @@
     Member,
     MemberState,
     NodeId,
-    OperationId,
     Refusal,
     RegionName,
     ServiceName,
     WithdrawKey,
 )
-from endivebeam_store import ConfigLog, HttpObjects, HttpTable
+from endivebeam_store import ConfigLog, HttpTable
 from endivebeam_wire import (
     PROTOCOL_VERSION,
     AskEntries,
@@ -54,7 +53,6 @@
 )
 
 from ._admin import build_admin_app
-from ._attempts import Known
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
 from ._config import ConfigCopy
@@ -62,7 +60,7 @@
 from ._inflight import InFlight
 from ._members import Members
 from ._nested import LocalHandler
-from ._once import OnceRunner, ask_outcome
+from ._once import build_once_runner
 from ._peers import Peers
 from ._ports import Observation, Outcome
 from ._settings import Settings
@@ -72,10 +70,6 @@
 MAX_CALLER_CONNECTIONS = 2048
 PORTS_CHECK_PERIOD_S = 0.05
 
-# Half of the time that a call waits for its claim, so that a lost answer
-# leaves time to read the row back.
-RECORD_TIMEOUT_S = 0.45
-
 SocketListener = anyio.abc.Listener[anyio.abc.SocketStream]
 
 
@@ -126,16 +120,12 @@
         # Call records have their own connections, so that many slow claims
         # cannot keep leases and configuration from the store.
         self._record_client = httpx.AsyncClient(base_url=settings.platform_url)
-        self.once = OnceRunner(
+        self.once = build_once_runner(
             tasks=tasks,
             node=NodeId(settings.node_id),
-            table=HttpTable(
-                client=self._record_client,
-                request_timeout_s=RECORD_TIMEOUT_S,
-                read_back_attempts=0,
-            ),
-            objects=HttpObjects(client=self._record_client),
-            ask=self._ask_outcome,
+            client=self._record_client,
+            peers=self.peers,
+            find_address=self.members.find_address,
             report_load=self._report_load,
         )
         self.calls = CallPath(
@@ -313,9 +303,6 @@
     async def _admit(self, call: CallRequest) -> AsyncIterator[Result[None, Refusal]]:
         yield Success(None)
 
-    async def _ask_outcome(self, node_id: NodeId, op_id: OperationId) -> Known:
-        return await ask_outcome(self.peers, self.members.find_address(node_id), op_id)
-
     async def _take_token(self, contract: Contract) -> Refusal | None:
         return None
 
--- a/packages/endivebeam-node/src/endivebeam_node/_once.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_once.py
@@ -6,6 +6,7 @@
 
 import anyio
 import anyio.abc
+import httpx
 import msgspec
 from loguru import logger
 from returns.result import Failure
@@ -14,6 +15,8 @@
 from endivebeam_store import (
     Commit,
     FirstAnswer,
+    HttpObjects,
+    HttpTable,
     Objects,
     StoreAction,
     Table,
@@ -47,12 +50,15 @@
 from ._ports import Admit, Forward, Outcome, ReportLoad
 
 STORE_WAIT_S = 1.0
+# Below half of the wait, so that a lost answer leaves time to read the row back.
+RECORD_TIMEOUT_S = 0.45
 ASK_TIMEOUT_S = 0.5
 SETTLE_TIMEOUT_S = 5.0
 MAX_RUN_S = 60.0
 
 T = TypeVar("T")
 
+FindAddress = Callable[[NodeId], Address | None]
 AskNode = Callable[[NodeId, OperationId], Awaitable[Known]]
 
 UNKNOWN = Known(OutcomeState.UNKNOWN)
@@ -256,6 +262,34 @@
     )
 
 
+def build_once_runner(
+    *,
+    tasks: anyio.abc.TaskGroup,
+    node: NodeId,
+    client: httpx.AsyncClient,
+    peers: Peers,
+    find_address: FindAddress,
+    report_load: ReportLoad,
+) -> OnceRunner:
+    """Return a runner that keeps its records at the platform of ``client``."""
+
+    async def ask(owner: NodeId, op_id: OperationId) -> Known:
+        return await ask_outcome(peers, find_address(owner), op_id)
+
+    # The steps of a claim read back themselves.
+    table = HttpTable(
+        client=client, request_timeout_s=RECORD_TIMEOUT_S, read_back_attempts=0
+    )
+    return OnceRunner(
+        tasks=tasks,
+        node=node,
+        table=table,
+        objects=HttpObjects(client=client),
+        ask=ask,
+        report_load=report_load,
+    )
+
+
 async def ask_outcome(
     peers: Peers, address: Address | None, op_id: OperationId
 ) -> Known:
