--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -1,5 +1,7 @@
 """Composition and life cycle of the daemon."""
 
+import asyncio
+import contextlib
 import random
 import secrets
 import socket
@@ -24,7 +26,6 @@
     Member,
     MemberState,
     NodeId,
-    OperationId,
     RegionName,
     ServiceName,
     WithdrawKey,
@@ -52,7 +53,6 @@
 )
 
 from ._admission import LocalAdmission
-from ._attempts import Known
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
 from ._config import ConfigCopy
@@ -66,7 +66,7 @@
 from ._listening import Ports, listen, port_of, write_ports
 from ._members import Members
 from ._nested import LocalHandler
-from ._once import OnceRunner, ask_outcome
+from ._once import build_once_runner
 from ._operations import Operations
 from ._overlay import Overlay
 from ._peers import Peers
@@ -80,10 +80,6 @@
 TARGET_CHECK_PERIOD_S = 0.2
 LEFT_SPREAD_S = 0.3
 
-# Half of the time that a call waits for its claim, so that a lost answer
-# leaves time to read the row back.
-RECORD_TIMEOUT_S = 0.45
-
 
 class Node:
     """All state of one running daemon."""
@@ -143,16 +139,13 @@
         # Call records have their own connections, so that many slow claims
         # cannot keep leases and configuration from the store.
         self._record_client = httpx.AsyncClient(base_url=settings.platform_url)
-        self.once = OnceRunner(
+        self.once = build_once_runner(
             tasks=tasks,
             node=NodeId(settings.node_id),
-            table=HttpTable(
-                client=self._record_client,
-                request_timeout_s=RECORD_TIMEOUT_S,
-                read_back_attempts=0,
-            ),
-            objects=HttpObjects(client=self._record_client),
-            ask=self._ask_outcome,
+            client=self._record_client,
+            peers=self.peers,
+            find_address=self.members.find_address,
+            on_answer=self.members.store_answered,
             report_load=self.admission.report,
         )
         self.operations = Operations(
@@ -274,9 +267,12 @@
         config = HypercornConfig()
         config.bind = [f"fd://{listener.fileno()}"]
         config.errorlog = None
-        await serve_asgi(
-            cast(ASGIFramework, app), config, shutdown_trigger=anyio.sleep_forever
-        )
+        # A cancelled hypercorn server asks its tasks for an exception that they
+        # do not have; a planned stop must not end with that error.
+        with contextlib.suppress(asyncio.InvalidStateError):
+            await serve_asgi(
+                cast(ASGIFramework, app), config, shutdown_trigger=anyio.sleep_forever
+            )
 
     async def _answer(self, stream: PeerStream, request: Request) -> Reply:
         match request:
@@ -358,9 +354,6 @@
     def _busy(self) -> bool:
         return bool(len(self._caller_server) or len(self.in_flight) or len(self.once))
 
-    async def _ask_outcome(self, node_id: NodeId, op_id: OperationId) -> Known:
-        return await ask_outcome(self.peers, self.members.find_address(node_id), op_id)
-
     def _find_live(self, node_id: NodeId) -> Member | None:
         member = self.members.get(node_id)
         return None if member is None or is_ended(member) else member
--- a/packages/endivebeam-node/src/endivebeam_node/_once.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_once.py
@@ -6,6 +6,7 @@
 
 import anyio
 import anyio.abc
+import httpx
 import msgspec
 from loguru import logger
 from returns.result import Failure
@@ -14,6 +15,8 @@
 from endivebeam_store import (
     Commit,
     FirstAnswer,
+    HttpObjects,
+    HttpTable,
     Objects,
     StoreAction,
     Table,
@@ -22,7 +25,6 @@
 )
 from endivebeam_wire import (
     AskOutcome,
-    CallAnswer,
     CallRefused,
     CallRequest,
     Header,
@@ -48,12 +50,15 @@
 from ._ports import Admit, Forward, Outcome, ReportLoad
 
 STORE_WAIT_S = 1.0
+# Below half of the wait, so that a lost answer leaves time to read the row back.
+RECORD_TIMEOUT_S = 0.45
 ASK_TIMEOUT_S = 0.5
 SETTLE_TIMEOUT_S = 5.0
 MAX_RUN_S = 60.0
 
 T = TypeVar("T")
 
+FindAddress = Callable[[NodeId], Address | None]
 AskNode = Callable[[NodeId, OperationId], Awaitable[Known]]
 
 UNKNOWN = Known(OutcomeState.UNKNOWN)
@@ -141,8 +146,9 @@
     async def _conclude(self, owned: _Owned) -> Outcome:
         if owned.outcome is None:
             return _deadline_exceeded(not_run=self._stop(owned))
-        if isinstance(owned.outcome, CallAnswer) or owned.attempt.claim is not None:
-            # An answer that is stored first can be given again by any node.
+        if owned.attempt.confirmed:
+            # Once the answer is stored, or the claim released, every node can
+            # serve a retry.
             limit = min(owned.deadline, anyio.current_time() + STORE_WAIT_S)
             with anyio.CancelScope(deadline=limit):
                 await owned.settled.wait()
@@ -256,6 +262,38 @@
     )
 
 
+def build_once_runner(
+    *,
+    tasks: anyio.abc.TaskGroup,
+    node: NodeId,
+    client: httpx.AsyncClient,
+    peers: Peers,
+    find_address: FindAddress,
+    on_answer: Callable[[], None],
+    report_load: ReportLoad,
+) -> OnceRunner:
+    """Return a runner that keeps its records at the platform of ``client``."""
+
+    async def ask(owner: NodeId, op_id: OperationId) -> Known:
+        return await ask_outcome(peers, find_address(owner), op_id)
+
+    # The steps of a claim read back themselves.
+    table = HttpTable(
+        client=client,
+        on_answer=on_answer,
+        request_timeout_s=RECORD_TIMEOUT_S,
+        read_back_attempts=0,
+    )
+    return OnceRunner(
+        tasks=tasks,
+        node=node,
+        table=table,
+        objects=HttpObjects(client=client),
+        ask=ask,
+        report_load=report_load,
+    )
+
+
 async def ask_outcome(
     peers: Peers, address: Address | None, op_id: OperationId
 ) -> Known:
@@ -273,8 +311,7 @@
                 AskOutcome(request_id=stream.next_id(), op_id=op_id)
             )
         except UnreachableError as error:
-            refused = isinstance(error.__cause__, ConnectionRefusedError)
-            return UNKNOWN if refused else RUNNING
+            return UNKNOWN if _is_refused(error) else RUNNING
         except (StreamLostError, StreamFullError):
             return RUNNING
         if isinstance(reply, OutcomeReply):
@@ -282,6 +319,15 @@
     return RUNNING
 
 
+def _is_refused(error: BaseException | None) -> bool:
+    # anyio reports a refused connection as the cause of its own error.
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
+
+
 def _to_known(reply: OutcomeReply) -> Known:
     if reply.state is not OutcomeState.ANSWERED:
         return Known(reply.state)
