--- /dev/null
+++ b/tests/test_overload_bounds.py
@@ -0,0 +1,58 @@
+"""The goals of design section 1.2 on a small deployment in virtual time."""
+
+import pytest
+from benchmarks.overload import (
+    ADAPTIVE,
+    NO_CONTROL,
+    OPRAVNA,
+    SCENARIOS,
+    Scenario,
+    run_scenario,
+)
+from benchmarks.overload_model import Deployment, Tier
+
+SMALL = Deployment(
+    name="small",
+    tiers=(
+        Tier(targets=2, slots=30, work_s=0.005),
+        Tier(targets=2, slots=30, work_s=0.005),
+        Tier(targets=3, slots=10, work_s=0.06),
+    ),
+    weights=(0.4, 0.3, 0.2, 0.1),
+)
+MIN_SHARE = 0.95
+MAX_RECOVERY_S = 2.0
+
+
+def find(name: str) -> Scenario:
+    return next(s for s in SCENARIOS if s.name == name)
+
+
+class TestOverload:
+    @pytest.mark.parametrize("name", ["1x", "2x", "one account at 5x"])
+    def test_goals_hold_at_the_sizes_of_a_deployment(self, name: str):
+        """Guards against goodput, fairness or recovery lost to a surge."""
+        figures = run_scenario(find(name), OPRAVNA, ADAPTIVE, 1)
+        assert figures.goodput >= 0.95
+        assert figures.worst >= MIN_SHARE
+        assert figures.recovery_s <= MAX_RECOVERY_S
+        assert figures.wrongful == 0.0
+        assert figures.critical == 1.0
+
+    def test_ten_times_the_demand(self):
+        """Guards against goodput and critical calls lost to a large surge."""
+        figures = run_scenario(find("10x"), SMALL, ADAPTIVE, 1)
+        assert figures.goodput >= 0.9
+        assert figures.recovery_s <= MAX_RECOVERY_S
+        assert figures.critical == 1.0
+
+    def test_small_targets_refuse_nothing_wrongly(self):
+        """Guards against refusals while slots are free at targets of few slots."""
+        figures = run_scenario(find("2x"), SMALL, ADAPTIVE, 2)
+        assert figures.wrongful == 0.0
+
+    def test_goals_need_the_mechanism(self):
+        """Guards against a model so easy that no control passes as well."""
+        figures = run_scenario(find("2x"), SMALL, NO_CONTROL, 1)
+        assert figures.goodput < 0.9
+        assert figures.recovery_s > MAX_RECOVERY_S
