Give the target the time left after the wait for a slot

Cause: the timeout sent to the target and the deadline of its nested calls were counted from the dispatch, so a call that had waited could work past the deadline of its caller. The new test sees 10 s three times without the change.

--- a/packages/endivebeam-node/src/endivebeam_node/_calls.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_calls.py
@@ -123,6 +123,7 @@
 
     async def _serve_admitted(self, call: CallRequest) -> Outcome:
         dispatched = False
+        arrived = anyio.current_time()
         with anyio.move_on_after(call.timeout_ms / 1000):
             async with self._admit(call) as admission:
                 refusal = admission.swap().value_or(None)
@@ -134,7 +135,11 @@
                         load=NO_LOAD,
                     )
                 dispatched = True
-                return await self._forward(call)
+                # The target gets the time that is left after the wait for a slot.
+                waited_ms = round((anyio.current_time() - arrived) * 1000)
+                left_ms = max(1, call.timeout_ms - waited_ms)
+                sent = msgspec.structs.replace(call, timeout_ms=left_ms)
+                return await self._forward(sent)
         run = RunStatus.UNKNOWN if dispatched else RunStatus.NOT_RUN
         return refuse(
             RefusalReason.DEADLINE_EXCEEDED,
--- a/packages/endivebeam-node/tests/test_local_admission.py
+++ b/packages/endivebeam-node/tests/test_local_admission.py
@@ -1,6 +1,7 @@
 """Slots of the local target on every way a call can end."""
 
 from collections.abc import Awaitable, Callable
+from typing import cast
 
 import anyio
 import pytest
@@ -8,19 +9,23 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from endivebeam_limits import RetryBudgets
 from endivebeam_model import (
     AccountId,
     ChainId,
     Criticality,
+    NodeId,
     RefusalReason,
     RunStatus,
     Semantics,
     ServiceName,
 )
 from endivebeam_node._admission import CANCEL_GRACE_S, LocalAdmission
+from endivebeam_node._calls import CallPath
 from endivebeam_node._config import ConfigCopy
+from endivebeam_node._peers import Peers
 from endivebeam_node._targets import LocalTarget
-from endivebeam_wire import CallRequest
+from endivebeam_wire import CallAnswer, CallRequest, LoadReport
 
 SLOTS = 4
 ENDINGS = ["answer", "error", "cancel", "deadline"]
@@ -171,3 +176,41 @@
                 assert bench.admission.report().limit == expected
 
         run_virtually(run)
+
+
+class TestDeadline:
+    def test_target_gets_the_time_left_after_the_wait(self):
+        """Guards against a target that works past the deadline of its caller."""
+        seen: list[int] = []
+
+        async def forward(call: CallRequest) -> CallAnswer:
+            seen.append(call.timeout_ms)
+            await anyio.sleep(1.0)
+            return CallAnswer(
+                request_id=0,
+                status=200,
+                headers=[],
+                body=b"",
+                retry_credits=0,
+                load=LoadReport(in_use=0, limit=0),
+            )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                bench = Bench(tasks, connections=1)
+                path = CallPath(
+                    local=NodeId("n"),
+                    peers=cast(Peers, None),
+                    choose=lambda service, excluded: None,
+                    observe=lambda node_id, observation: None,
+                    admit=bench.admission.admit,
+                    forward=forward,
+                    run_once=lambda call, run_call: run_call(call),
+                    budgets=RetryBudgets(),
+                )
+                async with anyio.create_task_group() as group:
+                    for _ in range(3):
+                        group.start_soon(path.serve, make_call(10.0))
+
+        run_virtually(run)
+        assert seen == [10_000, 9_000, 8_000]
