--- a/benchmarks/chain_model.py
+++ b/benchmarks/chain_model.py
@@ -5,10 +5,8 @@
 time are fakes; a seeded random source injects the faults.
 """
 
-import asyncio
 import itertools
 import random
-import selectors
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
@@ -49,39 +47,12 @@
 from endivebeam_node._targets import Announcement, LocalTarget
 from endivebeam_wire import CallRefused, CallRequest, StreamLostError
 
+from .virtual_time import VirtualLoop
+
 NODES_PER_SERVICE = 4
 SLOTS = 1000
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop whose clock jumps to the next timer instead of waiting."""
-
-    def __init__(self) -> None:
-        self._now = 1000.0
-        super().__init__(_JumpingSelector(self))
-
-    def time(self) -> float:
-        """Return the virtual time."""
-        return self._now
-
-    def jump(self, seconds: float) -> None:
-        """Advance the virtual time."""
-        self._now += seconds
-
-
-class _JumpingSelector(selectors.SelectSelector):
-    def __init__(self, loop: VirtualLoop) -> None:
-        super().__init__()
-        self._loop = loop
-
-    def select(
-        self, timeout: float | None = None
-    ) -> list[tuple[selectors.SelectorKey, int]]:
-        if timeout:
-            self._loop.jump(timeout)
-        return super().select(0)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Faults:
     """Probabilities of faults and the habits of the targets.
@@ -375,10 +346,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class ChainResult:
-    """Tally and outcome of one request."""
+    """Tally and outcome of one request; no outcome when its caller is gone."""
 
     tally: Tally
-    outcome: Outcome
+    outcome: Outcome | None
     still_running: int
 
     @property
@@ -397,16 +368,21 @@
     credits: int,
     seed: int,
     timeout_s: float = 10.0,
+    gone_after_s: float = 3600.0,
 ) -> ChainResult:
-    """Send one request through a chain and wait until all of its work ended."""
+    """Send one request through a chain and wait until all of its work ended.
+
+    The caller closes its connection ``gone_after_s`` after it sent the request.
+    """
 
     async def run() -> ChainResult:
         async with anyio.create_task_group() as tasks:
             chain = Chain(depth=depth, faults=faults, seed=seed, tasks=tasks)
-            outcome = await chain.call(credits, timeout_s)
+            outcome: Outcome | None = None
+            with anyio.move_on_after(gone_after_s):
+                outcome = await chain.call(credits, timeout_s)
             # Cancelled work needs a few turns of the event loop to unwind.
-            for _ in range(20):
-                await anyio.sleep(0)
+            await anyio.sleep(0.01)
             running = chain.tally.running
             await anyio.sleep(60.0)
             tasks.cancel_scope.cancel()
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -17,11 +17,10 @@
 
 from endivebeam_model import Criticality
 
+from .overload_gates import AdaptiveGate, FifoGate
 from .overload_model import (
-    AdaptiveGate,
     Control,
     Deployment,
-    FifoGate,
     Load,
     Model,
     Request,
--- a/benchmarks/overload_model.py
+++ b/benchmarks/overload_model.py
@@ -8,13 +8,10 @@
 import heapq
 import itertools
 import random
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from endivebeam_limits import (
-    Admission,
     Changes,
     RetryBudget,
     Ticket,
@@ -22,6 +19,8 @@
 )
 from endivebeam_model import AccountId, Criticality
 
+from .overload_gates import Gate
+
 DEADLINE_S = 2.0
 HOP_S = 0.0015
 DIRECT_FRACTION = 0.3
@@ -58,96 +57,6 @@
         return last.targets * last.slots / last.work_s
 
 
-class Gate(Protocol):
-    """What decides at a target which calls run."""
-
-    def arrive(self, ticket: Ticket, now: float) -> Changes:
-        """Start, queue or refuse a call."""
-
-    def release(self, ticket: Ticket, now: float) -> Changes:
-        """Give up a slot or a place in the queue."""
-
-    def load(self) -> float:
-        """Return running and waiting calls per slot."""
-
-    def ended(self, ticket: Ticket, now: float, nested_s: float) -> None:
-        """Learn from a call that was answered."""
-
-    def abandoned(self, ticket: Ticket, now: float, nested_s: float) -> None:
-        """Learn from a call that was cancelled."""
-
-
-class FifoGate:
-    """First in, first out, with a bound on the waiting calls."""
-
-    def __init__(self, slots: int, bound: float) -> None:
-        self._slots = slots
-        self._bound = bound
-        self._running = 0
-        self._waiting: deque[Ticket] = deque()
-
-    def arrive(self, ticket: Ticket, now: float) -> Changes:
-        """Start, queue or refuse a call."""
-        if self._running < self._slots:
-            return Changes(started=[self._start(ticket, now)])
-        if len(self._waiting) >= self._bound:
-            return Changes(refused=[ticket])
-        self._waiting.append(ticket)
-        return Changes()
-
-    def release(self, ticket: Ticket, now: float) -> Changes:
-        """Give up a slot."""
-        self._running -= 1
-        if not self._waiting:
-            return Changes()
-        return Changes(started=[self._start(self._waiting.popleft(), now)])
-
-    def load(self) -> float:
-        """Return running and waiting calls per slot."""
-        return (self._running + len(self._waiting) + 1) / self._slots
-
-    def ended(self, ticket: Ticket, now: float, nested_s: float) -> None:
-        """Learn nothing."""
-
-    def abandoned(self, ticket: Ticket, now: float, nested_s: float) -> None:
-        """Learn nothing."""
-
-    def _start(self, ticket: Ticket, now: float) -> Ticket:
-        self._running += 1
-        ticket.state = TicketState.RUNNING
-        ticket.started = now
-        return ticket
-
-
-class AdaptiveGate:
-    """The mechanism under test."""
-
-    def __init__(self, slots: int) -> None:
-        self.admission = Admission()
-        self.admission.start_cold(slots, 0.0)
-
-    def arrive(self, ticket: Ticket, now: float) -> Changes:
-        """Start, queue or refuse a call."""
-        return self.admission.arrive(ticket, now)
-
-    def release(self, ticket: Ticket, now: float) -> Changes:
-        """Give up a slot or a place in the queue."""
-        return self.admission.release(ticket, now)
-
-    def load(self) -> float:
-        """Return running and waiting calls per slot."""
-        admission = self.admission
-        return (admission.in_use + len(admission.queue) + 1) / admission.limit.limit
-
-    def ended(self, ticket: Ticket, now: float, nested_s: float) -> None:
-        """Adjust the limit."""
-        self.admission.limit.observe(ticket.started, now, nested_s)
-
-    def abandoned(self, ticket: Ticket, now: float, nested_s: float) -> None:
-        """Adjust the limit."""
-        self.admission.limit.observe_abandoned(ticket.started, now, nested_s)
-
-
 @dataclass(slots=True, eq=False)
 class Target:
     """One target: its gate and the calls that run on it."""
--- /dev/null
+++ b/benchmarks/virtual_time.py
@@ -0,0 +1,33 @@
+"""An event loop in virtual time."""
+
+import asyncio
+import selectors
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose clock jumps to the next timer instead of waiting."""
+
+    def __init__(self) -> None:
+        self._now = 1000.0
+        super().__init__(_JumpingSelector(self))
+
+    def time(self) -> float:
+        """Return the virtual time."""
+        return self._now
+
+    def jump(self, seconds: float) -> None:
+        """Advance the virtual time."""
+        self._now += seconds
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__()
+        self._loop = loop
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout:
+            self._loop.jump(timeout)
+        return super().select(0)
--- a/packages/endivebeam-node/tests/test_chain_retries.py
+++ b/packages/endivebeam-node/tests/test_chain_retries.py
@@ -102,3 +102,16 @@
         )
         assert result.tally.executions[6] == 1
         assert result.still_running == 0
+
+    @pytest.mark.parametrize("detached", [False, True])
+    def test_work_stops_when_the_caller_is_gone(self, detached: bool):
+        """Guards against nested calls that outlive the call they belong to."""
+        result = run_chain(
+            depth=6,
+            faults=Faults(leaf_hangs=True, detached=detached),
+            credits=2,
+            seed=1,
+            gone_after_s=1.0,
+        )
+        assert result.tally.executions[6] == 1
+        assert result.still_running == 0
--- a/packages/endivebeam-node/tests/test_local_admission.py
+++ b/packages/endivebeam-node/tests/test_local_admission.py
@@ -5,7 +5,7 @@
 
 import anyio
 import pytest
-from benchmarks.chain_model import VirtualLoop
+from benchmarks.virtual_time import VirtualLoop
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
