Let a nested call past the adaptive limit of the target that waits for it

The calls before it had lowered the adaptive limit to 1, so that a call of a target to its own service queued for the slot that its parent held until the deadline. A faster ending of the parent was ruled out: it waits for the nested call.

Change: a call is reentrant when a call of its chain waits for a nested call at the same target. Such a call is bounded by the announced slots alone and refused at once when they are in use. Siblings that wait for nothing do not count, so that a fan-out still obeys the adaptive limit.

--- a/benchmarks/chain_model.py
+++ b/benchmarks/chain_model.py
@@ -162,7 +162,10 @@
         )
         in_flight = InFlight()
         admission = LocalAdmission(
-            tasks=chain.tasks, target=target, config=chain.config
+            tasks=chain.tasks,
+            target=target,
+            in_flight=in_flight,
+            config=chain.config,
         )
         forwarder = _ChainForwarder(
             target=target,
--- a/packages/endivebeam-limits/src/endivebeam_limits/_admission.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_admission.py
@@ -54,6 +54,8 @@
     def arrive(self, ticket: Ticket, now: float) -> Changes:
         """Start, queue or refuse a call; a queued one is in no list."""
         changes = Changes()
+        if ticket.reentrant:
+            return self._arrive_reentrant(ticket, now, changes)
         if self.in_use < self.limit.limit and not len(self.queue):
             self._start(ticket, now, changes)
             return changes
@@ -89,6 +91,18 @@
         ahead = self.queue.count_ahead(ticket)
         return (ahead + 1.0) * self._hold_s / self.limit.limit
 
+    def _arrive_reentrant(
+        self, ticket: Ticket, now: float, changes: Changes
+    ) -> Changes:
+        # The call that waits for this one keeps its slot until this one ends, so
+        # that waiting for that slot could last until the deadline. The adaptive
+        # limit does not count here, the announced slots do.
+        if self.in_use < self.limit.slots:
+            self._start(ticket, now, changes)
+        else:
+            _refuse(ticket, changes)
+        return changes
+
     def _note_hold(self, hold_s: float) -> None:
         if self._hold_s is None:
             self._hold_s = hold_s
--- a/packages/endivebeam-limits/src/endivebeam_limits/_tickets.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_tickets.py
@@ -21,7 +21,8 @@
     """One call at the admission of a target.
 
     ``weight`` is the contract rate of the account, ``deadline`` monotonic.
-    ``order`` is set when the ticket is queued.
+    ``order`` is set when the ticket is queued. ``reentrant`` says that an
+    earlier call of the same chain holds a slot of the same target.
     """
 
     account: AccountId
@@ -29,6 +30,7 @@
     criticality: Criticality
     depth: int
     deadline: float
+    reentrant: bool = False
     state: TicketState = TicketState.NEW
     started: float = 0.0
     order: int = 0
--- a/packages/endivebeam-limits/tests/test_admission.py
+++ b/packages/endivebeam-limits/tests/test_admission.py
@@ -24,6 +24,7 @@
     criticality: Criticality = Criticality.NORMAL,
     depth: int = 1,
     deadline: float = 1e9,
+    reentrant: bool = False,
 ) -> Ticket:
     return Ticket(
         account=AccountId(account),
@@ -31,6 +32,7 @@
         criticality=criticality,
         depth=depth,
         deadline=deadline,
+        reentrant=reentrant,
     )
 
 
@@ -173,3 +175,24 @@
         queue.push(make_ticket("small", 1.0))
         # Without the refund it would wait for 20 turns of the other account.
         assert "small" in [pop(queue).account for _ in range(2)]
+
+
+class TestReentrantTicket:
+    def test_only_the_announced_slots_bound_it(self):
+        """Guards against a chain that waits for itself, and against extra slots."""
+        admission = Admission()
+        admission.start_cold(SLOTS, 0.0)
+        while admission.in_use < admission.limit.limit:
+            admission.arrive(make_ticket(), 0.0)
+        waiting = make_ticket()
+        admission.arrive(waiting, 0.0)
+        states = []
+        for _ in range(SLOTS):
+            nested = make_ticket(reentrant=True)
+            admission.arrive(nested, 0.0)
+            states.append(nested.state)
+        free = SLOTS - admission.limit.limit
+        assert states.count(TicketState.RUNNING) == free
+        assert states.count(TicketState.REFUSED) == SLOTS - free
+        assert admission.in_use == SLOTS
+        assert waiting.state is TicketState.QUEUED
--- a/packages/endivebeam-node/src/endivebeam_node/_admission.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_admission.py
@@ -19,7 +19,7 @@
 
 from ._clock import read_clock
 from ._config import ConfigCopy
-from ._inflight import Context
+from ._inflight import Context, InFlight
 from ._outcomes import RETRY_AFTER_S
 from ._ports import Outcome
 from ._targets import Announcement, LocalTarget
@@ -41,11 +41,13 @@
         *,
         tasks: anyio.abc.TaskGroup,
         target: LocalTarget,
+        in_flight: InFlight,
         config: ConfigCopy,
         clock: Callable[[], float] = read_clock,
     ) -> None:
         self._tasks = tasks
         self._target = target
+        self._in_flight = in_flight
         self._config = config
         self._clock = clock
         self._admission = Admission()
@@ -119,6 +121,7 @@
             weight=0.0 if contract is None else contract.rate_per_s,
             criticality=call.criticality,
             depth=call.depth,
+            reentrant=self._in_flight.has_waiting(call.chain_id),
             deadline=now + call.timeout_ms / 1000,
         )
 
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -128,7 +128,10 @@
             rng=self._rng,
         )
         self.admission = LocalAdmission(
-            tasks=tasks, target=self.target, config=self.config
+            tasks=tasks,
+            target=self.target,
+            in_flight=self.in_flight,
+            config=self.config,
         )
         self.forwarder = TargetForwarder(
             target=self.target,
--- a/packages/endivebeam-node/src/endivebeam_node/_inflight.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_inflight.py
@@ -1,16 +1,19 @@
 """Calls that the local target is serving, found again by its nested calls."""
 
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import anyio
 
-from endivebeam_model import AccountId
+from endivebeam_model import AccountId, ChainId
 from endivebeam_wire import CallRequest
 
 from ._randoms import random_hex
 
 MAX_IN_FLIGHT = 8192
 
+K = TypeVar("K")
+
 
 def parse_trace_id(traceparent: str | None) -> str | None:
     """Return the trace id of a W3C ``traceparent`` value, or None.
@@ -87,6 +90,7 @@
     def __init__(self) -> None:
         self._by_token: dict[str, Context] = {}
         self._by_trace: dict[str, list[Context]] = {}
+        self._by_chain: dict[ChainId, list[Context]] = {}
 
     def __len__(self) -> int:
         return len(self._by_token)
@@ -103,16 +107,14 @@
         )
         self._by_token[token] = context
         self._by_trace.setdefault(context.trace_id, []).append(context)
+        self._by_chain.setdefault(call.chain_id, []).append(context)
         return context
 
     def close(self, context: Context) -> None:
         """Forget a call; its token is not valid any more."""
         self._by_token.pop(context.token, None)
-        sharing = self._by_trace.get(context.trace_id, [])
-        if context in sharing:
-            sharing.remove(context)
-        if not sharing:
-            self._by_trace.pop(context.trace_id, None)
+        _remove(self._by_trace, context.trace_id, context)
+        _remove(self._by_chain, context.call.chain_id, context)
 
     def find(self, token: str | None, traceparent: str | None) -> Context | None:
         """Return the call that a nested call belongs to.
@@ -146,6 +148,10 @@
         for context in self._by_token.values():
             context.has_nested = True
 
+    def has_waiting(self, chain_id: ChainId) -> bool:
+        """Return whether a call of a chain waits here for a nested call."""
+        return any(context.scopes for context in self._by_chain.get(chain_id, ()))
+
     def common_account(self) -> Context | None:
         """Return the context with the earliest deadline if all share an account.
 
@@ -156,3 +162,11 @@
         if len(accounts) != 1:
             return None
         return min(self._by_token.values(), key=lambda context: context.deadline)
+
+
+def _remove(index: dict[K, list[Context]], key: K, context: Context) -> None:
+    sharing = index.get(key, [])
+    if context in sharing:
+        sharing.remove(context)
+    if not sharing:
+        index.pop(key, None)
--- a/packages/endivebeam-node/tests/test_local_admission.py
+++ b/packages/endivebeam-node/tests/test_local_admission.py
@@ -23,6 +23,7 @@
 from endivebeam_node._admission import CANCEL_GRACE_S, LocalAdmission
 from endivebeam_node._calls import CallPath
 from endivebeam_node._config import ConfigCopy
+from endivebeam_node._inflight import InFlight
 from endivebeam_node._peers import Peers
 from endivebeam_node._targets import LocalTarget
 from endivebeam_wire import CallAnswer, CallRequest, LoadReport
@@ -59,9 +60,13 @@
     def __init__(self, tasks: anyio.abc.TaskGroup, connections: int = 100) -> None:
         self.target = LocalTarget()
         self.connections = connections
+        self.in_flight = InFlight()
         self.announce()
         self.admission = LocalAdmission(
-            tasks=tasks, target=self.target, config=ConfigCopy()
+            tasks=tasks,
+            target=self.target,
+            in_flight=self.in_flight,
+            config=ConfigCopy(),
         )
         self.running = 0
         self.peak = 0
@@ -214,3 +219,38 @@
 
         run_virtually(run)
         assert seen == [10_000, 9_000, 8_000]
+
+
+class TestReentrantCall:
+    def test_nested_call_to_the_same_target_does_not_wait_for_its_parent(self):
+        """Guards against a call that waits for the slot of its own parent.
+
+        The parent ended only at its deadline when the limit had fallen to the
+        number of calls that waited for a nested call to the same target.
+        """
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                bench = Bench(tasks)
+                call = make_call()
+                parents = []
+                for _ in range(SLOTS // 2):
+                    parents.append(bench.admission.admit(call))
+                    admitted = await parents[-1].__aenter__()
+                    assert admitted.value_or(True) is None
+                context = bench.in_flight.open(call, 10.0)
+                scope = anyio.CancelScope()
+                started = anyio.current_time()
+                context.enter_nested(scope, started)
+                async with bench.admission.admit(call) as nested:
+                    assert nested.value_or(True) is None
+                    assert anyio.current_time() == started
+                context.leave_nested(scope, started)
+                # Without a nested call in progress the limit holds again.
+                with anyio.move_on_after(1.0):
+                    async with bench.admission.admit(call):
+                        raise AssertionError("the limit was exceeded")
+                for parent in parents:
+                    await parent.__aexit__(None, None, None)
+
+        run_virtually(run)
