--- a/packages/endivebeam-limits/src/endivebeam_limits/_leases.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_leases.py
@@ -17,8 +17,8 @@
     holder stops before a candidate may take over.
     """
 
-    ttl_s: float = 60.0
-    renew_s: float = 10.0
+    ttl_s: float = 20.0
+    renew_s: float = 10.0 / 3.0
     contact_s: float = 2.0
     grace_s: float = 4.0
     settle_s: float = 10.0
--- a/packages/endivebeam-limits/tests/test_leases.py
+++ b/packages/endivebeam-limits/tests/test_leases.py
@@ -23,7 +23,7 @@
 from endivebeam_model import AccountId, Contract, DomainName, NodeId
 
 A, B, C = DOMAINS = tuple(DomainName(name) for name in "abc")
-TIMES = LeaseTimes()
+TIMES = LeaseTimes(ttl_s=60.0, renew_s=10.0)
 CONTRACT = Contract(account=AccountId("northfit"), rate_per_s=3.0, burst=30.0)
 
 
--- a/packages/endivebeam-node/src/endivebeam_node/_settings.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_settings.py
@@ -68,5 +68,5 @@
     )
     domains: list[str] = []
     share_groups: int = Field(default=8, ge=1, le=4096)
-    share_ttl_s: float = Field(default=60.0, ge=1, le=86400)
+    share_ttl_s: float = Field(default=20.0, ge=1, le=86400)
     drain_timeout_s: float = Field(default=30.0, gt=0, le=600)
--- a/packages/endivebeam-node/tests/test_rate_shares.py
+++ b/packages/endivebeam-node/tests/test_rate_shares.py
@@ -274,7 +274,7 @@
 
 @pytest.fixture
 def world():
-    found = World(times=LeaseTimes())
+    found = World(times=LeaseTimes(ttl_s=60.0, renew_s=10.0))
     found.advance(3.0)
     yield found
     found.close()
