Type the status of grants and relayed writes in peer messages

The status of a grant was a bare number on the wire and the outcome of a relayed write a string; both are enumerations now, decoded by the codec.

--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -25,6 +25,7 @@
     ConfigVersion,
     Contract,
     DomainName,
+    GrantStatus,
     Key,
     KeyDigest,
     LogEntry,
@@ -217,7 +218,13 @@
     rumor = Rumor(request_id=100_000, members=(member,))
     change = Rumor(request_id=100_000, entries=(make_entry(100_000, "account-000001"),))
     ask = AskGrant(request_id=100_000, account=AccountId("account-000001"), slot=3)
-    grant = Grant(request_id=100_000, status=0, grant_id=100_000, tokens=10, level=50)
+    grant = Grant(
+        request_id=100_000,
+        status=GrantStatus.GRANTED,
+        grant_id=100_000,
+        tokens=10,
+        level=50,
+    )
     beat = Heartbeat(
         request_id=100_000,
         config_version=ConfigVersion(100_000),
--- a/benchmarks/rate_costs.py
+++ b/benchmarks/rate_costs.py
@@ -28,7 +28,14 @@
     ShareId,
     Surroundings,
 )
-from endivebeam_model import AccountId, Contract, DomainName, NodeId, OperationId
+from endivebeam_model import (
+    AccountId,
+    Contract,
+    DomainName,
+    GrantStatus,
+    NodeId,
+    OperationId,
+)
 from endivebeam_standins.virtual_loop import VirtualLoop
 from endivebeam_standins.virtual_rates import VirtualFleet
 from endivebeam_store import (
@@ -190,7 +197,7 @@
     """Return a typical grant."""
     return Grant(
         request_id=100_000,
-        status=0,
+        status=GrantStatus.GRANTED,
         grant_id=100_000,
         tokens=5,
         level=12.34,
--- a/packages/endivebeam-limits/src/endivebeam_limits/__init__.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/__init__.py
@@ -8,7 +8,7 @@
 from ._leases import HolderLease, LeaseTimes, Surroundings, TakeoverWatch
 from ._placement import Candidate, PreferredHolders, ShareId, ShareLayout, rank_holders
 from ._retries import RetryBudget, RetryBudgets
-from ._shares import GrantAnswer, GrantStatus, HeldShare
+from ._shares import GrantAnswer, HeldShare
 from ._tickets import Ticket, TicketState
 
 __all__ = [
@@ -23,7 +23,6 @@
     "FairQueue",
     "GrantAnswer",
     "GrantCache",
-    "GrantStatus",
     "HeldShare",
     "HolderKey",
     "HolderLease",
--- a/packages/endivebeam-limits/src/endivebeam_limits/_shares.py
+++ b/packages/endivebeam-limits/src/endivebeam_limits/_shares.py
@@ -1,11 +1,10 @@
 """One share in the memory of its holder: lease, buckets and answers."""
 
 from collections.abc import Iterator, Mapping, Sequence
-from enum import Enum
 
 import msgspec
 
-from endivebeam_model import AccountId, Contract
+from endivebeam_model import AccountId, Contract, GrantStatus
 
 from ._bucket import Bucket, BucketState
 from ._grants import Report
@@ -16,18 +15,6 @@
 MAX_REMOVED = 4096
 
 
-class GrantStatus(Enum):
-    """How a holder answers a request for tokens.
-
-    Numbers, because every grant carries one over the network.
-    """
-
-    GRANTED = 0
-    DECLINED = 1
-    STOPPED = 2
-    NOT_HOLDER = 3
-
-
 class GrantAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Answer of a holder; ``level`` is what remains in the bucket."""
 
--- a/packages/endivebeam-limits/tests/test_leases.py
+++ b/packages/endivebeam-limits/tests/test_leases.py
@@ -9,7 +9,6 @@
 from endivebeam_limits import (
     BucketState,
     Candidate,
-    GrantStatus,
     HeldShare,
     HolderLease,
     LeaseTimes,
@@ -20,7 +19,7 @@
     TakeoverWatch,
     rank_holders,
 )
-from endivebeam_model import AccountId, Contract, DomainName, NodeId
+from endivebeam_model import AccountId, Contract, DomainName, GrantStatus, NodeId
 
 A, B, C = DOMAINS = tuple(DomainName(name) for name in "abc")
 TIMES = LeaseTimes(ttl_s=60.0, renew_s=10.0)
--- a/packages/endivebeam-model/src/endivebeam_model/__init__.py
+++ b/packages/endivebeam-model/src/endivebeam_model/__init__.py
@@ -72,6 +72,7 @@
 from ._schema import build_schema, dump_schema
 from ._states import (
     Criticality,
+    GrantStatus,
     MemberState,
     RefusalReason,
     RunStatus,
@@ -98,6 +99,7 @@
     "Criticality",
     "DomainName",
     "Finding",
+    "GrantStatus",
     "IssueKey",
     "Key",
     "KeyDigest",
--- a/packages/endivebeam-model/src/endivebeam_model/_states.py
+++ b/packages/endivebeam-model/src/endivebeam_model/_states.py
@@ -61,3 +61,15 @@
     DRAINING = "draining"
     LEFT = "left"
     DEAD = "dead"
+
+
+class GrantStatus(Enum):
+    """How the holder of a share answers a request for rate tokens.
+
+    Numbers, because every grant carries one over the network.
+    """
+
+    GRANTED = 0
+    DECLINED = 1
+    STOPPED = 2
+    NOT_HOLDER = 3
--- a/packages/endivebeam-node/src/endivebeam_node/_holder.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_holder.py
@@ -11,7 +11,6 @@
 
 from endivebeam_limits import (
     BucketState,
-    GrantStatus,
     HeldShare,
     HolderLease,
     LeaseTimes,
@@ -20,7 +19,14 @@
     ShareLayout,
     Surroundings,
 )
-from endivebeam_model import AccountId, Contract, Member, NodeId, OperationId
+from endivebeam_model import (
+    AccountId,
+    Contract,
+    GrantStatus,
+    Member,
+    NodeId,
+    OperationId,
+)
 from endivebeam_store import (
     Committed,
     ShareConflict,
@@ -110,11 +116,11 @@
         if share is None:
             return Grant(
                 request_id=ask.request_id,
-                status=GrantStatus.NOT_HOLDER.value,
+                status=GrantStatus.NOT_HOLDER,
                 holder=self.known.get(share_id, NodeId("")),
             )
         if contract is None:
-            return Grant(request_id=ask.request_id, status=GrantStatus.STOPPED.value)
+            return Grant(request_id=ask.request_id, status=GrantStatus.STOPPED)
         reports = ask.reports if ask.token == self.grant_token else []
         now = self.clock()
         found = share.answer(
@@ -128,7 +134,7 @@
         )
         return Grant(
             request_id=ask.request_id,
-            status=found.status.value,
+            status=found.status,
             grant_id=found.grant_id,
             tokens=shorten(found.tokens),
             level=found.level,
--- a/packages/endivebeam-node/src/endivebeam_node/_rates.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_rates.py
@@ -7,7 +7,6 @@
 
 from endivebeam_limits import (
     GrantCache,
-    GrantStatus,
     HolderKey,
     ShareId,
     rank_holders,
@@ -15,6 +14,7 @@
 from endivebeam_model import (
     AccountId,
     Contract,
+    GrantStatus,
     NodeId,
     Refusal,
     RefusalReason,
@@ -45,7 +45,6 @@
 # Without evidence this young the store counts as down in refusals.
 STORE_EVIDENCE_S = 10.0
 
-_STATUSES = {status.value: status for status in GrantStatus}
 _ANSWERED = frozenset({GrantStatus.GRANTED, GrantStatus.DECLINED})
 
 
@@ -271,7 +270,7 @@
             tried.add(node_id)
             ask = self._build(account, account_id, share_id.slot, need, want)
             grant = await self._send(node_id, ask)
-            status = None if grant is None else _STATUSES.get(grant.status)
+            status = None if grant is None else grant.status
             if grant is not None and status in _ANSWERED:
                 slot.location = node_id
                 slot.token = grant.token
--- a/packages/endivebeam-node/src/endivebeam_node/_relays.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_relays.py
@@ -18,6 +18,7 @@
 )
 from endivebeam_wire import (
     RelayedRow,
+    RelayOutcome,
     RelayResult,
     RelayStore,
     StreamFullError,
@@ -49,9 +50,9 @@
         message = "the relaying node did not answer"
         return Failure(Unavailable(message=message, maybe_applied=True))
     match reply:
-        case RelayResult(outcome="committed"):
+        case RelayResult(outcome=RelayOutcome.COMMITTED):
             return Success(Committed(op_id=transaction.op_id))
-        case RelayResult(outcome="conflict", rows=rows):
+        case RelayResult(outcome=RelayOutcome.CONFLICT, rows=rows):
             return Failure(Conflict(rows=tuple(_to_row(row) for row in rows)))
     message = "the relaying node does not reach the table either"
     return Failure(Unavailable(message=message, maybe_applied=True))
@@ -64,13 +65,14 @@
         conditions=tuple(Condition(key=r.key, version=r.version) for r in message.rows),
         puts=tuple(Put(key=r.key, value=r.value) for r in message.rows),
     )
-    outcome, rows = "unavailable", []
+    outcome = RelayOutcome.UNAVAILABLE
+    rows: list[RelayedRow] = []
     if message.rows and all(r.key.startswith(SHARE_PREFIX) for r in message.rows):
         match await table.commit(transaction):
             case Success(_):
-                outcome = "committed"
+                outcome = RelayOutcome.COMMITTED
             case Failure(Conflict(rows=current)):
-                outcome = "conflict"
+                outcome = RelayOutcome.CONFLICT
                 rows = [RelayedRow(r.key, r.value, r.version, r.op_id) for r in current]
     return RelayResult(request_id=message.request_id, outcome=outcome, rows=rows)
 
--- a/packages/endivebeam-wire/src/endivebeam_wire/_rate_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_rate_messages.py
@@ -1,11 +1,13 @@
 """Messages of rate shares: grants, handover and relayed leases."""
 
+from enum import Enum
 from typing import Annotated
 
 import msgspec
 
 from endivebeam_model import (
     AccountId,
+    GrantStatus,
     NodeId,
     OperationId,
 )
@@ -41,14 +43,12 @@
 class Grant(PeerMessage, frozen=True, kw_only=True, tag=21):
     """Answers ``AskGrant``.
 
-    ``status`` is 0 for granted, 1 for declined, 2 for a holder that may not
-    grant now and 3 for a node that is not the holder. ``level`` is what remains
-    in the bucket, ``token`` names the holder's process, and ``holder`` is the
-    node that holds the share as far as known.
+    ``level`` is what remains in the bucket, ``token`` names the holder's
+    process, and ``holder`` is the node that holds the share as far as known.
     """
 
     request_id: int
-    status: int
+    status: GrantStatus
     grant_id: int = 0
     tokens: float = 0.0
     level: float = 0.0
@@ -108,13 +108,17 @@
     rows: Annotated[list[RelayedRow], msgspec.Meta(max_length=1024)]
 
 
-class RelayResult(PeerMessage, frozen=True, kw_only=True, tag=24):
-    """Answers ``RelayStore``.
+class RelayOutcome(Enum):
+    """What became of relayed writes."""
 
-    ``outcome`` is ``committed``, ``conflict`` (with the conflicting rows) or
-    ``unavailable``.
-    """
+    COMMITTED = "committed"
+    CONFLICT = "conflict"
+    UNAVAILABLE = "unavailable"
+
+
+class RelayResult(PeerMessage, frozen=True, kw_only=True, tag=24):
+    """Answers ``RelayStore``; ``rows`` are the conflicting rows."""
 
     request_id: int
-    outcome: ShortText
+    outcome: RelayOutcome
     rows: Annotated[list[RelayedRow], msgspec.Meta(max_length=1024)] = []
