--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from endivebeam_standins import run_fleet
+from endivebeam_standins import FleetNode, run_fleet
 from endivebeam_standins.demo import (
     Demo,
     show_calls,
@@ -16,10 +16,16 @@
 )
 
 
+def opens_io_uring(node: FleetNode) -> bool:
+    """Return whether a node's process has an io_uring among its open files."""
+    files = Path(f"/proc/{node.node.pid}/fd").iterdir()
+    return any("io_uring" in str(file.readlink()) for file in files)
+
+
 @pytest.mark.process
 class TestFleet:
     def test_calls_survive_withdrawal_drain_and_kill(self, tmp_path: Path):
-        """Guards against cut or misrouted answers while the fleet changes."""
+        """Guards against lost answers while the fleet changes, and against io_uring."""
         with run_fleet(tmp_path) as fleet:
             demo = Demo(fleet=fleet)
             start_fleet(fleet)
@@ -27,3 +33,4 @@
             for show in (show_calls, show_withdrawal, show_drain, show_kill):
                 show(demo)
             assert demo.failures == []
+            assert [n.name for n in fleet.nodes if opens_io_uring(n)] == []
