Prove replies, cancellation and bounds of peer streams; fix three faults

The wire package had no direct tests. The new ones found that - a CancelCall in the same read as its request was lost, because the served task had not registered its scope yet; - the bound on served requests was not kept within one read, for the same reason; - a write that blocks because the peer reads nothing is shielded, so neither the deadline of the caller nor the heartbeat's silence limit ended it. The scope is registered before the task starts, and a write is given up after 2 s. A second reply in the same read no longer replaces the first.

--- a/packages/endivebeam-wire/src/endivebeam_wire/_streams.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_streams.py
@@ -16,6 +16,8 @@
 
 RECEIVE_BYTES = 65536
 HELLO_TIMEOUT_S = 2.0
+# Longer than the silence after which a peer counts as lost.
+SEND_LIMIT_S = 2.0
 MAX_PENDING_BYTES = 8 << 20
 MAX_REQUESTS = 4096
 
@@ -175,28 +177,33 @@
             case _ if type(message) in _REQUESTS:
                 # A request beyond the bound gets no answer; its sender has the
                 # same bound and never exceeds it.
+                request = cast(Request, message)
                 if len(self._serving) < MAX_REQUESTS:
-                    tasks.start_soon(self._serve, cast(Request, message))
+                    # Known before its task runs, because its cancellation and
+                    # further requests may have arrived in the same read.
+                    scope = anyio.CancelScope()
+                    self._serving[request.request_id] = scope
+                    tasks.start_soon(self._serve, request, scope)
             case _:
                 self._deliver(cast(Reply, message))
 
     def _deliver(self, reply: Reply) -> None:
-        # A reply whose request is gone has no waiter and is dropped.
+        # A reply whose request is gone has no waiter and is dropped, and so is
+        # a second reply that comes before the waiting task has run.
         waiter = self._waiters.get(reply.request_id)
-        if waiter is not None:
+        if waiter is not None and waiter.reply is None:
             waiter.reply = reply
             waiter.event.set()
 
-    async def _serve(self, request: Request) -> None:
-        with anyio.CancelScope() as scope:
-            self._serving[request.request_id] = scope
-            try:
+    async def _serve(self, request: Request, scope: anyio.CancelScope) -> None:
+        try:
+            with scope:
                 reply = await self._answer(self, request)
                 await self._send(reply)
-            except (StreamLostError, StreamFullError):
-                pass
-            finally:
-                self._serving.pop(request.request_id, None)
+        except (StreamLostError, StreamFullError):
+            pass
+        finally:
+            self._serving.pop(request.request_id, None)
 
     async def _receive(self) -> bytes:
         try:
@@ -226,7 +233,10 @@
         await self.flush()
 
     async def flush(self) -> None:
-        """Write the waiting frames; the first task to come writes for all."""
+        """Write the waiting frames; the first task to come writes for all.
+
+        The stream is closed when the peer takes no bytes for ``SEND_LIMIT_S``.
+        """
         if self._flushing:
             return
         self._flushing = True
@@ -237,7 +247,14 @@
                     data = b"".join(self._pending)
                     self._pending.clear()
                     self._pending_bytes = 0
-                    await self._stream.send(data)
+                    # A peer that stopped reading must not hold the task that
+                    # writes, which nobody else can cancel.
+                    with anyio.fail_after(SEND_LIMIT_S):
+                        await self._stream.send(data)
+        except TimeoutError as error:
+            self._mark_closed()
+            await anyio.aclose_forcefully(self._stream)
+            raise StreamLostError("peer takes no bytes") from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
             self._mark_closed()
             raise StreamLostError("stream broke while sending") from error
--- /dev/null
+++ b/packages/endivebeam-wire/tests/test_frames.py
@@ -0,0 +1,92 @@
+"""Frames: splitting, arbitrary bytes and the size limit on both sides."""
+
+import itertools
+import struct
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from endivebeam_model import ConfigVersion
+from endivebeam_wire import (
+    MAX_FRAME_BYTES,
+    AskEntries,
+    CancelCall,
+    FrameError,
+    FrameReader,
+    Heartbeat,
+    Message,
+    SnapshotPiece,
+    encode_frame,
+)
+
+IDS = st.integers(0, 2**63 - 1)
+MESSAGES = st.one_of(
+    st.builds(CancelCall, request_id=IDS),
+    st.builds(Heartbeat, request_id=IDS, member_digest=IDS),
+    st.builds(AskEntries, request_id=IDS, after=IDS.map(ConfigVersion)),
+    st.builds(
+        SnapshotPiece,
+        request_id=IDS,
+        version=IDS.map(ConfigVersion),
+        offset=IDS,
+        size=IDS,
+        data=st.binary(max_size=300),
+    ),
+)
+
+
+def make_piece(size: int) -> SnapshotPiece:
+    return SnapshotPiece(
+        request_id=1, version=ConfigVersion(1), offset=0, size=size, data=bytes(size)
+    )
+
+
+class TestFrames:
+    @given(messages=st.lists(MESSAGES, max_size=6), data=st.data())
+    def test_any_split_gives_the_same_messages(
+        self, messages: list[Message], data: st.DataObject
+    ):
+        """Guards against messages lost or merged at the edges of a read."""
+        sent = b"".join(encode_frame(message) for message in messages)
+        cuts = data.draw(st.lists(st.integers(0, len(sent)), max_size=20).map(sorted))
+        reader = FrameReader()
+        received: list[Message] = []
+        for start, end in itertools.pairwise([0, *cuts, len(sent)]):
+            received += reader.feed(sent[start:end])
+        assert received == messages
+
+    @given(pieces=st.lists(st.binary(max_size=60), max_size=5))
+    def test_arbitrary_bytes_raise_only_frame_errors(self, pieces: list[bytes]):
+        """Guards against a peer that ends the process with malformed bytes."""
+        reader = FrameReader()
+        framed = [struct.pack(">I", len(piece)) + piece for piece in pieces]
+        for data in [*framed, *pieces]:
+            try:
+                reader.feed(data)
+            except FrameError:
+                return
+
+    @given(message=MESSAGES, data=st.data())
+    def test_changed_bytes_raise_only_frame_errors(
+        self, message: Message, data: st.DataObject
+    ):
+        """Guards against nearly valid messages that escape the decoder's checks."""
+        frame = bytearray(encode_frame(message))
+        at = data.draw(st.integers(4, len(frame) - 1))
+        frame[at] = data.draw(st.integers(0, 255))
+        try:
+            FrameReader().feed(bytes(frame))
+        except FrameError:
+            return
+
+    def test_oversized_frame_is_refused_by_its_sender(self):
+        """Guards against a message that only the receiver refuses."""
+        encode_frame(make_piece(MAX_FRAME_BYTES - 64))
+        with pytest.raises(FrameError, match="exceeds"):
+            encode_frame(make_piece(MAX_FRAME_BYTES))
+
+    def test_oversized_frame_is_refused_by_its_receiver(self):
+        """Guards against a buffer that grows with the length a peer announces."""
+        with pytest.raises(FrameError, match="exceeds"):
+            FrameReader().feed(struct.pack(">I", MAX_FRAME_BYTES + 1))
