--- a/packages/endivebeam-node/src/endivebeam_node/_peers.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_peers.py
@@ -25,6 +25,8 @@
 SILENCE_LIMIT_S = 1.0
 PAUSE_LIMIT_S = 0.5
 IDLE_LIMIT_S = 60.0
+# The side that opened a stream sends heartbeats on it or closes it when idle.
+ACCEPTED_SILENCE_S = 2 * IDLE_LIMIT_S
 MAX_STREAMS = 512
 MAX_ACCEPTED = 1024
 
@@ -79,7 +81,10 @@
         peer = PeerStream(stream=stream, answer=self._answer, local=self._hello())
         try:
             await peer.handshake()
-            await peer.run()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_close_silent, peer)
+                await peer.run()
+                tasks.cancel_scope.cancel()
         except (FrameError, StreamLostError) as error:
             logger.warning("peers: refused a stream: {}", error)
             await peer.close()
@@ -193,3 +198,14 @@
                 return
             elapsed = anyio.current_time() - started
             await anyio.sleep(max(0.0, HEARTBEAT_PERIOD_S - elapsed))
+
+
+async def _close_silent(stream: PeerStream) -> None:
+    # A silent accepted stream would keep its place among MAX_ACCEPTED forever.
+    while not stream.closed:
+        silent_s = anyio.current_time() - stream.last_received_at
+        if silent_s > ACCEPTED_SILENCE_S:
+            logger.warning("peers: closed an accepted stream that went silent")
+            await stream.close()
+            return
+        await anyio.sleep(ACCEPTED_SILENCE_S - silent_s + HEARTBEAT_PERIOD_S)
--- a/packages/endivebeam-wire/src/endivebeam_wire/_streams.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_streams.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import itertools
-import time
 from collections.abc import Awaitable, Callable, Iterator
 from typing import cast, get_args
 
@@ -51,7 +50,7 @@
     """One connection between two nodes that carries many requests at once.
 
     Requests of the other side are answered by ``answer``, each in its own
-    task. ``last_received_at`` is the monotonic time of the latest bytes.
+    task. ``last_received_at`` is the loop's time at the latest bytes.
     """
 
     def __init__(
@@ -74,7 +73,7 @@
         self._early: list[Message] = []
         self.remote: Hello | None = None
         self.closed = False
-        self.last_received_at = time.monotonic()
+        self.last_received_at = anyio.current_time()
 
     async def handshake(self) -> Hello:
         """Exchange greetings; the remote node is known afterwards.
@@ -164,7 +163,7 @@
                 messages = self._reader.feed(data)
             except (StreamLostError, FrameError):
                 return
-            self.last_received_at = time.monotonic()
+            self.last_received_at = anyio.current_time()
             for message in messages:
                 self._dispatch(message, tasks)
 
