--- a/packages/endivebeam-node/tests/test_peers.py
+++ b/packages/endivebeam-node/tests/test_peers.py
@@ -87,20 +87,22 @@
 async def open_peers(
     monkeypatch: pytest.MonkeyPatch, neighbor: bool
 ) -> AsyncIterator[tuple[Peers, Network, anyio.abc.TaskGroup]]:
-    async with anyio.create_task_group() as tasks:
-        network = Network(tasks)
-        monkeypatch.setattr(peers_module.anyio, "connect_tcp", network.connect)
-        peers = Peers(
-            tasks=tasks,
-            answer=answer,
-            hello=lambda: HELLO,
-            heartbeat=lambda request_id: Heartbeat(request_id=request_id),
-            on_echo=lambda stream, echo, at: None,
-            on_lost=network.lost.append,
-            is_neighbor=lambda address: neighbor,
-        )
-        yield peers, network, tasks
-        tasks.cancel_scope.cancel()
+    # An hour of virtual time, so that a test without its mechanism ends.
+    with anyio.fail_after(3600.0):
+        async with anyio.create_task_group() as tasks:
+            network = Network(tasks)
+            monkeypatch.setattr(peers_module.anyio, "connect_tcp", network.connect)
+            peers = Peers(
+                tasks=tasks,
+                answer=answer,
+                hello=lambda: HELLO,
+                heartbeat=lambda request_id: Heartbeat(request_id=request_id),
+                on_echo=lambda stream, echo, at: None,
+                on_lost=network.lost.append,
+                is_neighbor=lambda address: neighbor,
+            )
+            yield peers, network, tasks
+            tasks.cancel_scope.cancel()
 
 
 class TestSilence:
