Test that planned stops of a node and a target cut no request

Nine httpx clients with kept connections call three nodes without a pause while one node and another node's target get SIGTERM.

--- /dev/null
+++ b/tests/test_planned_stops.py
@@ -0,0 +1,119 @@
+"""I9: planned stops of a node and of a target cut no request of steady callers."""
+
+import itertools
+import threading
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import ExitStack
+from pathlib import Path
+
+import httpx
+import pytest
+
+from endivebeam_standins import Fleet, FleetNode, run_fleet, wait_for
+from endivebeam_standins.demo import DOMAINS, Demo, put_contract, write_contracts
+
+CALLERS_PER_NODE = 3
+SERVICE_TIME_MS = 20.0
+CALL_TIMEOUT_S = 15.0
+
+
+class Caller:
+    """Sends one call after the other over a kept connection.
+
+    Like a load balancer, it goes to another node when a node announces by
+    ``Connection: close`` that it closes the connection.
+    """
+
+    def __init__(self, demo: Demo, nodes: list[FleetNode]) -> None:
+        self.outcomes: Counter[str] = Counter()
+        self.kept = 0
+        self._key = next(iter(demo.keys.values()))
+        self._urls: Iterator[str] = itertools.cycle([n.caller_url for n in nodes])
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self) -> "Caller":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        headers = {"authorization": f"Bearer {self._key}"}
+        with httpx.Client(headers=headers, timeout=CALL_TIMEOUT_S) as client:
+            url = next(self._urls)
+            for number in itertools.count():
+                if self._stop.is_set():
+                    return
+                outcome, closes = self._call(client, url, f"/items?n={number}")
+                self.outcomes[outcome] += 1
+                self.kept += not closes
+                if closes:
+                    url = next(self._urls)
+
+    def _call(self, client: httpx.Client, url: str, path: str) -> tuple[str, bool]:
+        try:
+            answer = client.get(f"{url}/bookings{path}")
+        except httpx.HTTPError as error:
+            return f"{type(error).__name__} at {url}", False
+        closes = answer.headers.get("connection", "").lower() == "close"
+        if answer.status_code != 200:
+            reason = answer.headers.get("endivebeam-reason")
+            return f"{answer.status_code} {reason}", closes
+        if answer.json()["path"] != path:
+            return "answer to another request", closes
+        return "answered", closes
+
+
+def start(fleet: Fleet) -> Demo:
+    demo = Demo(fleet=fleet)
+    for domain in DOMAINS:
+        fleet.start_node(
+            service="bookings", domain=domain, service_time_ms=SERVICE_TIME_MS
+        )
+    for node in fleet.nodes:
+        fleet.wait_for_members("bookings", len(DOMAINS), node)
+    write_contracts(demo)
+    demo.change(put_contract("northfit-rentals", rate=1e6))
+    return demo
+
+
+def wait_for_calls(callers: list[Caller], count: int) -> None:
+    before = [sum(caller.outcomes.values()) for caller in callers]
+    wait_for(
+        lambda: all(
+            sum(caller.outcomes.values()) >= start + count
+            for caller, start in zip(callers, before, strict=True)
+        ),
+        f"{count} calls of each caller",
+    )
+
+
+@pytest.mark.process
+class TestPlannedStops:
+    def test_stops_of_a_node_and_a_target_cut_no_request(self, tmp_path: Path):
+        """Guards against requests that are cut or refused by a planned stop."""
+        with run_fleet(tmp_path) as fleet:
+            demo = start(fleet)
+            first, second, third = fleet.nodes
+            orders = ([first, second], [second, first], [third, first, second])
+            with ExitStack() as stack:
+                callers = [
+                    stack.enter_context(Caller(demo, order))
+                    for order in orders
+                    for _ in range(CALLERS_PER_NODE)
+                ]
+                wait_for_calls(callers, 20)
+                third.node.terminate()
+                assert third.node.wait(CALL_TIMEOUT_S * 2) == 0
+                wait_for_calls(callers, 20)
+                second.target.terminate()
+                assert second.target.wait(CALL_TIMEOUT_S * 2) == 0
+                wait_for_calls(callers, 20)
+            total = sum((c.outcomes for c in callers), Counter[str]())
+            print(dict(total))
+            assert set(total) == {"answered"}
+            assert all(c.kept > 20 for c in callers)
