Keep idle caller connections open when a planned stop begins

A node that began to stop closed its idle caller connections at once, and also one whose answer had just been sent without Connection: close. A caller that sent its next request at that moment lost it.

The new test fails when idle connections are closed at once.

--- a/packages/endivebeam-http/src/endivebeam_http/_listeners.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_listeners.py
@@ -30,6 +30,7 @@
         self._max_connections = max_connections
         self._max_body_bytes = max_body_bytes
         self._connections: set[ServerConnection] = set()
+        self._announcing = False
 
     def __len__(self) -> int:
         """Return the number of open connections."""
@@ -41,6 +42,12 @@
             tasks.start_soon(self._sweep, tasks)
             await listener.serve(self._serve_stream)
 
+    def announce_close(self) -> None:
+        """Ask callers to reconnect elsewhere; ends no connection by itself."""
+        self._announcing = True
+        for connection in self._connections:
+            connection.announce_close()
+
     def drain(self) -> None:
         """Close idle connections now and the others after their request."""
         for connection in list(self._connections):
@@ -56,6 +63,8 @@
             error_response=self._error_response,
             max_body_bytes=self._max_body_bytes,
         )
+        if self._announcing:
+            connection.announce_close()
         self._connections.add(connection)
         try:
             await connection.run()
--- a/packages/endivebeam-http/src/endivebeam_http/_server.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_server.py
@@ -102,6 +102,7 @@
         self._since = time.monotonic()
         self._timed_out = False
         self._draining = False
+        self._closing = False
         self._watched: anyio.Event | None = None
         self._early = b""
 
@@ -116,9 +117,18 @@
             with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_TIMEOUT_S):
                 await self._stream.aclose()
 
+    def announce_close(self) -> None:
+        """Say ``Connection: close`` with the next response, then close.
+
+        An idle connection stays open, because its caller may be sending a
+        request just now, which a close would cut.
+        """
+        self._draining = True
+
     def drain(self) -> None:
         """Close the connection as soon as no request is in progress."""
         self._draining = True
+        self._closing = True
         if self._phase is Phase.IDLE:
             self._scope.cancel()
 
@@ -149,7 +159,7 @@
     async def _next_request(self) -> Request | None:
         while not self._requests:
             if not self._parser.started:
-                if self._draining:
+                if self._closing:
                     return None
                 self._enter(Phase.IDLE)
             data = await self._receive()
--- a/packages/endivebeam-http/tests/test_connections.py
+++ b/packages/endivebeam-http/tests/test_connections.py
@@ -138,6 +138,23 @@
             with pytest.raises(anyio.EndOfStream):
                 await stream.receive()
 
+    async def test_announced_close_cuts_no_request_on_an_idle_connection(self):
+        """Guards against a planned stop that closes while a request is sent."""
+        async with serve(echo) as served:
+            async with await served.connect() as stream:
+                await stream.send(b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n")
+                await receive_until(stream, b"/a ")
+                served.server.announce_close()
+                for _ in range(10):
+                    await anyio.lowlevel.checkpoint()
+                await stream.send(b"GET /b HTTP/1.1\r\nhost: x\r\n\r\n")
+                assert b"connection: close" in await receive_until(stream, b"/b ")
+                with pytest.raises(anyio.EndOfStream):
+                    await stream.receive()
+            async with await served.connect() as stream:
+                await stream.send(b"GET /c HTTP/1.1\r\nhost: x\r\n\r\n")
+                assert b"connection: close" in await receive_until(stream, b"/c ")
+
     async def test_malformed_request_gets_an_error(self):
         """Guards against a connection that ends without a reason."""
         async with serve(echo) as served, await served.connect() as stream:
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -248,7 +248,8 @@
         self._stopping = True
         self.calls.draining = True
         self.members.update_local(state=MemberState.DRAINING)
-        self._caller_server.drain()
+        # Idle connections stay open at first: a caller may be sending on one.
+        self._caller_server.announce_close()
         await self.rates.leave()
         with anyio.move_on_after(self.settings.drain_timeout_s):
             # Other nodes need time to learn of the drain before streams close.
