Load TLS contexts from files and reload them

Peers, callers and operators need TLS, and certificates change more often than nodes restart. TlsContext loads a changed certificate into the context that is in use; files that cannot be used leave it as it is and are logged. Another authority replaces the context, because a context cannot forget an authority.

--- a/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
@@ -59,6 +59,7 @@
     StreamFullError,
     StreamLostError,
 )
+from ._tls import TlsContext, TlsFiles, check_tls_files
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -106,5 +107,8 @@
     "SnapshotPiece",
     "StreamFullError",
     "StreamLostError",
+    "TlsContext",
+    "TlsFiles",
+    "check_tls_files",
     "encode_frame",
 ]
