Speak TLS on the peer, caller and admin ports

Keys, tokens and peer messages could be read on the wire, and any process could greet as a peer. Peer streams now use mutual TLS with the fleet's authority, and the caller and admin ports TLS, each when its files are set. Handshakes of peers are bounded by the connect limit, those of callers by 5 s and by the number of connections. Without peer files the daemon warns once. Files that are missing or do not fit are findings with their place; the key's field is hidden.

--- a/packages/endivebeam-http/src/endivebeam_http/__init__.py
+++ b/packages/endivebeam-http/src/endivebeam_http/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from ._client import ClientPool, NotSentError, encode_request
-from ._listeners import HttpServer, SocketListener
+from ._listeners import MAX_CONNECTIONS, HttpServer, SocketListener
 from ._messages import (
     HOP_BY_HOP,
     MAX_BODY_BYTES,
@@ -22,6 +22,7 @@
 __all__ = [
     "HOP_BY_HOP",
     "MAX_BODY_BYTES",
+    "MAX_CONNECTIONS",
     "ClientPool",
     "ConnectionLostError",
     "Field",
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -1,19 +1,13 @@
 """Composition and life cycle of the daemon."""
 
-import asyncio
-import contextlib
 import random
 import secrets
 import socket
-from typing import cast
 
 import anyio
 import anyio.abc
 import httpx
 import msgspec
-from hypercorn.asyncio import serve as serve_asgi
-from hypercorn.config import Config as HypercornConfig
-from hypercorn.typing import ASGIFramework
 from loguru import logger
 
 from endivebeam_http import HttpServer
@@ -52,6 +46,7 @@
     SendCounts,
 )
 
+from ._admin_serving import serve_admin
 from ._admission import LocalAdmission
 from ._callers import CallerHandler, error_response
 from ._calls import CallPath
@@ -75,6 +70,7 @@
 from ._settings import Settings
 from ._stop import wait_for_stop
 from ._targets import Announcement, LocalTarget
+from ._tls import NodeTls
 
 PORTS_CHECK_PERIOD_S = 0.05
 TARGET_CHECK_PERIOD_S = 0.2
@@ -98,6 +94,7 @@
             client=self._client, on_answer=self.members.store_answered
         )
         self.log = ConfigLog(table=self.table)
+        self.tls = NodeTls(settings.tls)
         self.peers = Peers(
             tasks=tasks,
             answer=self._answer,
@@ -106,6 +103,7 @@
             on_echo=self._on_echo,
             on_lost=self._on_lost,
             is_neighbor=lambda address: self.overlay.is_neighbor(address),
+            tls=self.tls.peer,
         )
         self.overlay = Overlay(
             members=self.members, peers=self.peers, tasks=tasks, rng=self._rng
@@ -217,10 +215,11 @@
             peer = await listen(settings.host, settings.peer_port)
             admin = socket.create_server((settings.host, settings.admin_port))
             self.members.update_local(address=Address(settings.host, port_of(peer)))
-            servers.start_soon(self._caller_server.serve, caller)
+            servers.start_soon(self._caller_server.serve, self.tls.wrap_caller(caller))
             servers.start_soon(self._local_server.serve, local)
             servers.start_soon(peer.serve, self.peers.accept)
             servers.start_soon(self._serve_admin, admin)
+            servers.start_soon(self.tls.run)
             servers.start_soon(self.overlay.run)
             servers.start_soon(self.routes.run)
             servers.start_soon(self.sync.run)
@@ -264,15 +263,8 @@
 
     async def _serve_admin(self, listener: socket.socket) -> None:
         app = self.operations.build_app(on_drain=self._stop.set)
-        config = HypercornConfig()
-        config.bind = [f"fd://{listener.fileno()}"]
-        config.errorlog = None
-        # A cancelled hypercorn server asks its tasks for an exception that they
-        # do not have; a planned stop must not end with that error.
-        with contextlib.suppress(asyncio.InvalidStateError):
-            await serve_asgi(
-                cast(ASGIFramework, app), config, shutdown_trigger=anyio.sleep_forever
-            )
+        tls = self.tls.admin
+        await serve_admin(app, listener, None if tls is None else tls.context)
 
     async def _answer(self, stream: PeerStream, request: Request) -> Reply:
         match request:
--- a/packages/endivebeam-node/src/endivebeam_node/_peers.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_peers.py
@@ -1,5 +1,6 @@
 """Peer streams of this node: opening, accepting and keeping them alive."""
 
+import ssl
 from collections.abc import Callable
 
 import anyio
@@ -20,6 +21,8 @@
     StreamLostError,
 )
 
+from ._tls import PeerTls
+
 CONNECT_TIMEOUT_S = 1.0
 HEARTBEAT_PERIOD_S = 0.5
 SILENCE_LIMIT_S = 1.0
@@ -28,6 +31,13 @@
 MAX_STREAMS = 512
 MAX_ACCEPTED = 1024
 
+_HANDSHAKE_ERRORS = (
+    OSError,
+    TimeoutError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+)
+
 OnEcho = Callable[[PeerStream, HeartbeatEcho, float], None]
 """Takes the echo of a heartbeat and the time at which the heartbeat was sent."""
 
@@ -43,6 +53,7 @@
     """Streams to other nodes, one per address, opened on first use.
 
     ``is_neighbor`` tells the addresses that get heartbeats all the time.
+    Without ``tls``, peers are not authenticated.
     """
 
     def __init__(
@@ -55,6 +66,7 @@
         on_echo: OnEcho,
         on_lost: OnLost = lambda stream: None,
         is_neighbor: Callable[[Address], bool] = lambda address: True,
+        tls: PeerTls | None = None,
     ) -> None:
         self._tasks = tasks
         self._answer = answer
@@ -63,26 +75,24 @@
         self._on_echo = on_echo
         self._on_lost = on_lost
         self._is_neighbor = is_neighbor
+        self._tls = tls
         self._closing = False
         self._retired: set[PeerStream] = set()
         self._streams: dict[Address, PeerStream] = {}
         self._opening: dict[Address, anyio.Lock] = {}
         self._accepted = 0
 
-    async def accept(self, stream: anyio.abc.SocketStream) -> None:
+    async def accept(self, raw: anyio.abc.SocketStream) -> None:
         """Serve a stream that another node opened."""
         if self._accepted >= MAX_ACCEPTED:
             logger.warning("peers: too many streams; refused one")
-            await anyio.aclose_forcefully(stream)
+            await anyio.aclose_forcefully(raw)
             return
         self._accepted += 1
-        peer = PeerStream(stream=stream, answer=self._answer, local=self._hello())
         try:
-            await peer.handshake()
-            await peer.run()
-        except (FrameError, StreamLostError) as error:
-            logger.warning("peers: refused a stream: {}", error)
-            await peer.close()
+            stream = await self._secure_accepted(raw)
+            if stream is not None:
+                await self._serve_accepted(stream)
         finally:
             self._accepted -= 1
 
@@ -117,7 +127,7 @@
         """
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                raw = await anyio.connect_tcp(address.host, address.port)
+                raw = await self._connect(address)
                 stream = PeerStream(
                     stream=raw, answer=self._answer, local=self._hello()
                 )
@@ -139,7 +149,7 @@
             raise UnreachableError("too many peer streams are open")
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                raw = await anyio.connect_tcp(address.host, address.port)
+                raw = await self._connect(address)
         except (OSError, TimeoutError) as error:
             raise UnreachableError(f"no connection to {address.host}") from error
         stream = PeerStream(stream=raw, answer=self._answer, local=self._hello())
@@ -152,6 +162,46 @@
         self._tasks.start_soon(self._run, address, stream)
         return stream
 
+    async def _connect(self, address: Address) -> anyio.abc.ByteStream:
+        # Raises OSError for every failure; the caller bounds the time.
+        raw = await anyio.connect_tcp(address.host, address.port)
+        if self._tls is None:
+            return raw
+        try:
+            return await self._tls.connect(raw)
+        except BaseException as error:
+            await anyio.aclose_forcefully(raw)
+            if isinstance(error, ssl.SSLError):
+                logger.warning("peers: TLS with {} failed: {}", address.host, error)
+            if isinstance(error, (anyio.EndOfStream, anyio.BrokenResourceError)):
+                raise ConnectionResetError("peer closed in the handshake") from error
+            raise
+
+    async def _secure_accepted(
+        self, raw: anyio.abc.ByteStream
+    ) -> anyio.abc.ByteStream | None:
+        if self._tls is None:
+            return raw
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                return await self._tls.accept(raw)
+        except _HANDSHAKE_ERRORS as error:
+            logger.warning("peers: refused a stream: TLS handshake: {!r}", error)
+        except BaseException:
+            await anyio.aclose_forcefully(raw)
+            raise
+        await anyio.aclose_forcefully(raw)
+        return None
+
+    async def _serve_accepted(self, stream: anyio.abc.ByteStream) -> None:
+        peer = PeerStream(stream=stream, answer=self._answer, local=self._hello())
+        try:
+            await peer.handshake()
+            await peer.run()
+        except (FrameError, StreamLostError) as error:
+            logger.warning("peers: refused a stream: {}", error)
+            await peer.close()
+
     async def _run(self, address: Address, stream: PeerStream) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._keep_alive, address, stream)
--- a/packages/endivebeam-node/src/endivebeam_node/_settings.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_settings.py
@@ -32,6 +32,31 @@
     role: Literal["admin", "read"] = "admin"
 
 
+class PortFiles(BaseModel):
+    """PEM files of a port that speaks TLS: certificate chain and key."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    certificate: Path
+    key: Path
+
+
+class PeerFiles(PortFiles):
+    """PEM files of the peer port, with the fleet's certificate authority."""
+
+    authority: Path
+
+
+class TlsSettings(BaseModel):
+    """Ports that speak TLS; the others speak plain TCP."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    peer: PeerFiles | None = None
+    caller: PortFiles | None = None
+    admin: PortFiles | None = None
+
+
 class Settings(BaseModel):
     """Settings of one node.
 
@@ -59,6 +84,7 @@
     )
     seeds: list[SeedAddress] = []
     operators: list[Operator] = []
+    tls: TlsSettings = TlsSettings()
     ports_file: Path | None = None
     log_level: Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR"] = Field(
         default="INFO", description="use TRACE, DEBUG, INFO, WARNING or ERROR"
--- a/packages/endivebeam-node/src/endivebeam_node/_settings_load.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_settings_load.py
@@ -17,8 +17,10 @@
     load_model,
     suggest,
 )
+from endivebeam_wire import check_tls_files
 
-from ._settings import Settings
+from ._settings import PortFiles, Settings
+from ._tls import files_of
 
 ENV_PREFIX = "ENDIVEBEAM_"
 
@@ -103,7 +105,8 @@
         return {key: _hide(key, item) for key, item in value.items()}
     if isinstance(value, list):
         return [_hide(name, item) for item in value]
-    if value and any(word in name for word in SECRET_WORDS):
+    # A key file's field may hold the key itself by mistake.
+    if value and (name == "key" or any(word in name for word in SECRET_WORDS)):
         return HIDDEN
     if isinstance(value, str) and "://" in value:
         return _hide_user(value)
@@ -142,6 +145,7 @@
 def _check_settings(settings: Settings, source: Source) -> Iterator[Finding]:
     """Yield the findings that concern several fields together."""
     yield from _check_ports(settings, source)
+    yield from _check_tls(settings, source)
     names: set[str] = set()
     for index, operator in enumerate(settings.operators):
         if operator.name in names:
@@ -158,6 +162,29 @@
         yield source.make_finding(("seeds",), message, Severity.WARNING)
 
 
+def _check_tls(settings: Settings, source: Source) -> Iterator[Finding]:
+    for port in ("peer", "caller", "admin"):
+        files: PortFiles | None = getattr(settings.tls, port)
+        if files is None:
+            continue
+        missing = list(_check_files(port, files, source))
+        yield from missing
+        fault = None if missing else check_tls_files(files_of(files))
+        if fault is not None:
+            message = f"files cannot be used: {fault}; check that the key fits"
+            yield source.make_finding(("tls", port), message)
+
+
+def _check_files(port: str, files: PortFiles, source: Source) -> Iterator[Finding]:
+    for name in type(files).model_fields:
+        try:
+            getattr(files, name).read_bytes()
+        except OSError as error:
+            # The value is not repeated: it may be a key instead of its path.
+            message = f"file cannot be read: {error.strerror}; check the path"
+            yield source.make_finding(("tls", port, name), message)
+
+
 def _check_ports(settings: Settings, source: Source) -> Iterator[Finding]:
     used: dict[int, str] = {}
     for name in ("caller_port", "local_port", "peer_port", "admin_port"):
--- /dev/null
+++ b/packages/endivebeam-node/src/endivebeam_node/_tls.py
@@ -0,0 +1,159 @@
+"""TLS of the daemon's ports: contexts, handshakes and their reload."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+from anyio.streams.tls import TLSListener, TLSStream
+from loguru import logger
+
+from endivebeam_http import MAX_CONNECTIONS, SocketListener
+from endivebeam_wire import TlsContext, TlsFiles
+
+from ._settings import PeerFiles, PortFiles, TlsSettings
+
+RELOAD_PERIOD_S = 60.0
+HANDSHAKE_TIMEOUT_S = 5.0
+
+
+class PeerTls:
+    """Both sides of peer streams, verified against the fleet's authority.
+
+    Closing handshakes are left out: frames carry their length, so that a cut
+    stream is noticed without them.
+    """
+
+    def __init__(self, *, files: TlsFiles) -> None:
+        self.server = TlsContext(files=files, server_side=True)
+        self.client = TlsContext(files=files, server_side=False)
+
+    async def accept(self, stream: anyio.abc.ByteStream) -> anyio.abc.ByteStream:
+        """Make the handshake of a stream that another node opened.
+
+        Raises ``OSError``, ``EndOfStream`` or ``BrokenResourceError``.
+        """
+        return await TLSStream.wrap(
+            stream,
+            server_side=True,
+            ssl_context=self.server.context,
+            standard_compatible=False,
+        )
+
+    async def connect(self, stream: anyio.abc.ByteStream) -> anyio.abc.ByteStream:
+        """Make the handshake of a stream to another node; raises as ``accept``."""
+        return await TLSStream.wrap(
+            stream,
+            server_side=False,
+            ssl_context=self.client.context,
+            standard_compatible=False,
+        )
+
+
+class NodeTls:
+    """TLS of all ports; None for each port that has no settings.
+
+    Raises ``OSError`` when files cannot be used.
+    """
+
+    def __init__(self, settings: TlsSettings) -> None:
+        self.peer = None
+        if settings.peer is None:
+            logger.warning(
+                "tls: peer streams are not authenticated; set tls.peer, or keep the "
+                "peer port on a network that only nodes can reach"
+            )
+        else:
+            self.peer = PeerTls(files=files_of(settings.peer))
+        self.caller = _port_context(settings.caller)
+        self.admin = _port_context(settings.admin)
+
+    def reload(self) -> None:
+        """Load changed files; open connections are kept."""
+        contexts = [self.caller, self.admin]
+        if self.peer is not None:
+            contexts += [self.peer.server, self.peer.client]
+        for context in contexts:
+            if context is not None:
+                context.reload()
+
+    async def run(self) -> None:
+        """Reload changed files until cancelled."""
+        while True:
+            await anyio.sleep(RELOAD_PERIOD_S)
+            self.reload()
+
+    def wrap_caller(
+        self, listener: SocketListener
+    ) -> anyio.abc.Listener[anyio.abc.ByteStream]:
+        """Return the listener of the caller port, with TLS if it is set."""
+        if self.caller is None:
+            return listener
+        return CallerListener(
+            listener=BoundedListener(listener),
+            ssl_context=self.caller.context,
+            standard_compatible=False,
+            handshake_timeout=HANDSHAKE_TIMEOUT_S,
+        )
+
+
+class BoundedListener(anyio.abc.Listener[anyio.abc.SocketStream]):
+    """Closes connections above a bound, those still in a handshake included."""
+
+    def __init__(
+        self, listener: SocketListener, *, max_connections: int = MAX_CONNECTIONS
+    ) -> None:
+        self._listener = listener
+        self._max_connections = max_connections
+        self._open = 0
+
+    async def serve(
+        self,
+        handler: Callable[[anyio.abc.SocketStream], Any],
+        task_group: anyio.abc.TaskGroup | None = None,
+    ) -> None:
+        """Serve connections until cancelled."""
+
+        async def handle(stream: anyio.abc.SocketStream) -> None:
+            if self._open >= self._max_connections:
+                await anyio.aclose_forcefully(stream)
+                return
+            self._open += 1
+            try:
+                await handler(stream)
+            finally:
+                self._open -= 1
+
+        await self._listener.serve(handle, task_group)
+
+    async def aclose(self) -> None:
+        """Close the listener."""
+        await self._listener.aclose()
+
+
+class CallerListener(TLSListener):
+    """TLS listener that logs a failed handshake in one line."""
+
+    @staticmethod
+    async def handle_handshake_error(
+        exc: BaseException, stream: anyio.abc.AnyByteStream
+    ) -> None:
+        """Close the connection and log why; cancellation goes on."""
+        await anyio.aclose_forcefully(stream)
+        if not isinstance(exc, Exception):
+            raise exc
+        logger.debug("calls: TLS handshake failed: {!r}", exc)
+
+
+def files_of(settings: PeerFiles | PortFiles) -> TlsFiles:
+    """Return the files that settings name."""
+    authority = settings.authority if isinstance(settings, PeerFiles) else None
+    return TlsFiles(
+        certificate=settings.certificate, key=settings.key, authority=authority
+    )
+
+
+def _port_context(settings: PortFiles | None) -> TlsContext | None:
+    if settings is None:
+        return None
+    return TlsContext(files=files_of(settings), server_side=True)
--- a/packages/endivebeam-standins/src/endivebeam_standins/_fleet.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_fleet.py
@@ -4,6 +4,7 @@
 import os
 import secrets
 import signal
+import ssl
 import subprocess
 import sys
 import time
@@ -15,6 +16,7 @@
 
 import httpx
 import msgspec
+import trustme
 import yaml
 
 from ._ports import Port
@@ -47,16 +49,17 @@
     target: subprocess.Popen[bytes]
     ports: NodePorts
     target_port: int
+    scheme: str = "http"
 
     @property
     def caller_url(self) -> str:
         """Base URL of the caller port."""
-        return f"http://127.0.0.1:{self.ports.caller}"
+        return f"{self.scheme}://127.0.0.1:{self.ports.caller}"
 
     @property
     def admin_url(self) -> str:
         """Base URL of the administration API."""
-        return f"http://127.0.0.1:{self.ports.admin}"
+        return f"{self.scheme}://127.0.0.1:{self.ports.admin}"
 
     @property
     def target_url(self) -> str:
@@ -79,12 +82,19 @@
 
 
 class Fleet:
-    """The platform stand-in, nodes and targets of one test or demo."""
+    """The platform stand-in, nodes and targets of one test or demo.
 
-    def __init__(self, *, directory: Path, log_level: str = "INFO") -> None:
+    With ``tls``, the peer, caller and admin ports of all nodes speak TLS with
+    certificates of ``authority``.
+    """
+
+    def __init__(
+        self, *, directory: Path, log_level: str = "INFO", tls: bool = False
+    ) -> None:
         self.directory = directory
         self.operator_token = secrets.token_hex(16)
         self.nodes: list[FleetNode] = []
+        self.authority = trustme.CA() if tls else None
         self._log_level = log_level
         self._platform_port = 0
         self._processes: list[subprocess.Popen[bytes]] = []
@@ -138,6 +148,7 @@
             target=target,
             ports=ports,
             target_port=self._read_port(target_file).port,
+            scheme="http" if self.authority is None else "https",
         )
         self.nodes.append(fleet_node)
         return fleet_node
@@ -156,7 +167,31 @@
             base_url=node.admin_url,
             headers={"authorization": f"Bearer {self.operator_token}"},
             timeout=10.0,
+            verify=self.client_context(),
+        )
+
+    def client_context(self) -> ssl.SSLContext | bool:
+        """Return what a client of the caller or admin ports verifies with."""
+        if self.authority is None:
+            return True
+        context = ssl.create_default_context()
+        self.authority.configure_trust(context)
+        return context
+
+    def issue_certificate(self, name: str) -> dict[str, str]:
+        """Write a certificate, its key and the authority; return their paths."""
+        assert self.authority is not None
+        leaf = self.authority.issue_cert("127.0.0.1")
+        paths = {
+            part: self.directory / f"{name}-{part}.pem"
+            for part in ("certificate", "key", "authority")
+        }
+        paths["certificate"].write_bytes(
+            b"".join(pem.bytes() for pem in leaf.cert_chain_pems)
         )
+        paths["key"].write_bytes(leaf.private_key_pem.bytes())
+        paths["authority"].write_bytes(self.authority.cert_pem.bytes())
+        return {part: str(path) for part, path in paths.items()}
 
     def wait_for_members(self, service: str, count: int, node: FleetNode) -> None:
         """Wait until a node knows a number of serving targets of a service."""
@@ -188,7 +223,7 @@
         self, name: str, domain: str, region: str, ports_file: Path
     ) -> Path:
         digest = hashlib.sha256(self.operator_token.encode()).hexdigest()
-        settings = {
+        settings: dict[str, object] = {
             "node_id": name,
             "region": region,
             "domain": domain,
@@ -198,6 +233,11 @@
             "ports_file": str(ports_file),
             "log_level": self._log_level,
         }
+        if self.authority is not None:
+            peer = self.issue_certificate(name)
+            port = {part: peer[part] for part in ("certificate", "key")}
+            # Copied, because settings refuse the aliases of a shared value.
+            settings["tls"] = {"peer": peer, "caller": port, "admin": dict(port)}
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         return path
@@ -222,9 +262,11 @@
 
 
 @contextmanager
-def run_fleet(directory: Path, log_level: str = "INFO") -> Iterator[Fleet]:
+def run_fleet(
+    directory: Path, log_level: str = "INFO", tls: bool = False
+) -> Iterator[Fleet]:
     """Yield a fleet with its platform and stop it at the end."""
-    fleet = Fleet(directory=directory, log_level=log_level)
+    fleet = Fleet(directory=directory, log_level=log_level, tls=tls)
     try:
         fleet.start_platform()
         yield fleet
--- a/packages/endivebeam-standins/src/endivebeam_standins/demo.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/demo.py
@@ -74,7 +74,11 @@
         if idempotency_key is not None:
             headers["idempotency-key"] = idempotency_key
         answer = httpx.request(
-            method, node.caller_url + path, headers=headers, timeout=15.0
+            method,
+            node.caller_url + path,
+            headers=headers,
+            timeout=15.0,
+            verify=self.fleet.client_context(),
         )
         reason = answer.headers.get("endivebeam-reason", "answered")
         self.counts[account][reason] += 1
