--- a/packages/endivebeam-wire/tests/test_tls.py
+++ b/packages/endivebeam-wire/tests/test_tls.py
@@ -2,12 +2,18 @@
 
 import ssl
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import pytest
 import trustme
+from hypothesis import given
+from hypothesis import strategies as st
 
 from endivebeam_wire import TlsContext, TlsFiles
 
+AUTHORITY = trustme.CA()
+OTHER_KEY = AUTHORITY.issue_cert("127.0.0.1").private_key_pem.bytes()
+
 
 def issue(authority: trustme.CA, files: TlsFiles) -> None:
     """Write a new certificate of an authority to the files."""
@@ -106,6 +112,37 @@
         with pytest.raises(ssl.SSLError):
             Link(server.context, client.context).send(b"x")
 
+    @given(
+        st.lists(st.sampled_from(["renew", "break certificate", "break key", "reload"]))
+    )
+    def test_the_last_usable_files_that_were_loaded_are_in_force(
+        self, steps: list[str]
+    ):
+        """Guards against an order of changes and reloads that mixes two files."""
+        with TemporaryDirectory() as directory:
+            files = make_files(Path(directory), "node", AUTHORITY)
+            server = TlsContext(files=files, server_side=True)
+            client = TlsContext(files=files, server_side=False)
+            # The naive version: what a new context would read now.
+            on_disk, whole = files.certificate.read_bytes(), True
+            in_force = on_disk
+            for step in steps:
+                if step == "renew":
+                    issue(AUTHORITY, files)
+                    on_disk, whole = files.certificate.read_bytes(), True
+                elif step == "break certificate":
+                    files.certificate.write_bytes(files.certificate.read_bytes()[:200])
+                    whole = False
+                elif step == "break key":
+                    files.key.write_bytes(OTHER_KEY)
+                    whole = False
+                else:
+                    assert server.reload() is whole
+                    in_force = on_disk if whole else in_force
+                shown = Link(server.context, client.context).client.getpeercert(True)
+                assert shown is not None
+                assert ssl.DER_cert_to_PEM_cert(shown) == in_force.decode()
+
 
 class TestVersions:
     def test_old_protocol_versions_are_refused(self, tmp_path: Path):
