--- a/packages/endivebeam-node/tests/test_tls.py
+++ b/packages/endivebeam-node/tests/test_tls.py
@@ -4,11 +4,13 @@
 import ssl
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import httpx
 import pytest
 import trustme
@@ -20,7 +22,7 @@
 
 from endivebeam_http import HttpServer, Request, Response, plain_error_response
 from endivebeam_model import Address, DomainName, NodeId
-from endivebeam_node import _peers
+from endivebeam_node import _peers, _tls
 from endivebeam_node._admin_serving import serve_admin
 from endivebeam_node._listening import listen, port_of
 from endivebeam_node._peers import Peers, UnreachableError
@@ -29,6 +31,7 @@
 from endivebeam_wire import PROTOCOL_VERSION, Heartbeat, HeartbeatEcho, Hello
 
 TIMEOUT_S = 20.0
+PORTS = ("peer", "caller", "admin")
 
 pytestmark = pytest.mark.anyio
 
@@ -206,6 +209,37 @@
             await old.ask(Heartbeat(request_id=old.next_id()))
             assert await client.peers.connect(server.address) is old
 
+    async def test_the_node_reloads_all_ports(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against a port whose certificate expires beside its renewed file."""
+        monkeypatch.setattr(_tls, "RELOAD_PERIOD_S", 0)
+        authority = trustme.CA()
+        files = {name: issue(tmp_path, name, authority) for name in PORTS}
+        tls = NodeTls(
+            TlsSettings(
+                peer=files["peer"],
+                caller=port_files(files["caller"]),
+                admin=port_files(files["admin"]),
+            )
+        )
+        assert tls.peer is not None
+        contexts = {"peer": tls.peer.server, "caller": tls.caller, "admin": tls.admin}
+        async with running() as tasks:
+            tasks.start_soon(tls.run)
+            for name, context in contexts.items():
+                assert context is not None
+                listener = await listen("127.0.0.1", 0)
+                handshake = partial(
+                    TLSStream.wrap, server_side=True, ssl_context=context.context
+                )
+                tasks.start_soon(listener.serve, handshake)
+                address = Address("127.0.0.1", port_of(listener))
+                before = await _certificate(address, tls.peer)
+                issue(tmp_path, name, authority)
+                while await _certificate(address, tls.peer) == before:
+                    await anyio.lowlevel.checkpoint()
+
 
 async def _certificate(address: Address, tls: PeerTls) -> bytes | None:
     raw = await anyio.connect_tcp(address.host, address.port)
--- a/packages/endivebeam-wire/tests/test_tls.py
+++ b/packages/endivebeam-wire/tests/test_tls.py
@@ -8,6 +8,7 @@
 import trustme
 from hypothesis import given
 from hypothesis import strategies as st
+from loguru import logger
 
 from endivebeam_wire import TlsContext, TlsFiles
 
@@ -89,7 +90,12 @@
         else:
             other = make_files(tmp_path, "other", authority)
             files.certificate.write_bytes(other.certificate.read_bytes())
+        lines: list[str] = []
+        sink = logger.add(lambda line: lines.append(str(line)), level="ERROR")
         assert not server.reload()
+        logger.remove(sink)
+        assert len(lines) == 1
+        assert "cannot be reloaded" in lines[0]
         after = Link(server.context, client.context).client.getpeercert(True)
         assert after == before
         issue(authority, files)
