--- a/packages/endivebeam-http/src/endivebeam_http/_messages.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_messages.py
@@ -86,14 +86,16 @@
     return None
 
 
-def strip_hop_by_hop(fields: list[Field]) -> list[Field]:
-    """Return the fields without those of one connection.
+def strip_hop_by_hop(
+    fields: list[Field], also: frozenset[bytes] = frozenset()
+) -> list[Field]:
+    """Return the fields without those of one connection and some others.
 
-    Fields named in ``Connection`` belong to the connection too.
+    Fields named in any ``Connection`` field belong to the connection too.
     """
-    named = get_field(fields, b"connection")
-    if named is None:
-        return [f for f in fields if f.name not in HOP_BY_HOP]
-    listed = {name.strip().lower() for name in named.split(b",")}
-    dropped = HOP_BY_HOP | listed
+    dropped = HOP_BY_HOP | also
+    named = [f.value for f in fields if f.name == b"connection"]
+    if named:
+        listed = b",".join(named).split(b",")
+        dropped = dropped | {name.strip().lower() for name in listed}
     return [f for f in fields if f.name not in dropped]
--- a/packages/endivebeam-http/tests/test_parsers.py
+++ b/packages/endivebeam-http/tests/test_parsers.py
@@ -146,3 +146,14 @@
             Field(b"accept", b"*/*"),
         ]
         assert strip_hop_by_hop(fields) == [Field(b"accept", b"*/*")]
+
+    def test_every_connection_field_counts(self):
+        """Guards against a second Connection field whose names pass."""
+        fields = [
+            Field(b"connection", b"close"),
+            Field(b"connection", b"x-a, x-b"),
+            Field(b"x-a", b"1"),
+            Field(b"x-b", b"2"),
+            Field(b"x-c", b"3"),
+        ]
+        assert strip_hop_by_hop(fields, frozenset({b"x-c"})) == []
--- a/packages/endivebeam-node/src/endivebeam_node/_callers.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_callers.py
@@ -7,12 +7,12 @@
 from returns.pipeline import is_successful
 
 from endivebeam_http import (
-    HOP_BY_HOP,
     Field,
     HttpError,
     Request,
     Response,
     get_field,
+    strip_hop_by_hop,
 )
 from endivebeam_model import (
     AccountId,
@@ -45,6 +45,8 @@
 # Fields that only nodes may set; a caller's values are never passed on.
 INTERNAL_FIELDS = frozenset({b"endivebeam-context", TIMEOUT_FIELD, b"endivebeam-run"})
 
+_NEVER_FORWARDED = KEY_FIELDS | INTERNAL_FIELDS
+
 _ERROR_REASONS = {
     HTTPStatus.REQUEST_ENTITY_TOO_LARGE: RefusalReason.BODY_TOO_LARGE,
     HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: RefusalReason.HEADERS_TOO_LARGE,
@@ -280,10 +282,7 @@
 
 def forwarded_headers(fields: list[Field]) -> list[Header]:
     """Return the fields that may reach a target: no keys, no internal fields."""
-    named = get_field(fields, b"connection") or b""
-    listed = {name.strip().lower() for name in named.split(b",")}
-    dropped = KEY_FIELDS | INTERNAL_FIELDS | HOP_BY_HOP | listed
-    return [Header(*f) for f in fields if f.name not in dropped]
+    return [Header(*f) for f in strip_hop_by_hop(fields, _NEVER_FORWARDED)]
 
 
 def _isolated() -> Refusal:
