Refuse at-most-once routes that are open to all

Callers without a key share one scope of idempotency keys, so that one could receive the response of another. The document check said so as a warning and accepted the route; it is an error now, in documents and in the administration API.

--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,200 @@
+"""A long run with faults that shows whether memory, sockets or files leak.
+
+    python -m benchmarks.soak --seed 1 --minutes 10
+
+Six nodes answer steady calls while faults follow each other: store down, lost
+answers of the store, a paused node, a killed and replaced node, a changed
+contract. Each sample lists resident memory and open files of the nodes that
+ran from the beginning.
+"""
+
+import random
+import signal
+import statistics
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from threading import Event, Thread
+from typing import Annotated
+
+import httpx
+import typer
+
+from endivebeam_standins import FleetNode, run_fleet
+from endivebeam_standins.demo import (
+    ACCOUNTS,
+    Demo,
+    put_contract,
+    start_fleet,
+    write_contracts,
+)
+
+CALLERS = 4
+CALL_PAUSE_S = 0.02
+FAULT_PERIOD_S = 20.0
+FAULT_S = 5.0
+SAMPLE_PERIOD_S = 60.0
+
+
+class Load:
+    """Callers that send steady calls and count what comes back."""
+
+    def __init__(self, *, demo: Demo, nodes: list[FleetNode]) -> None:
+        self.counts: Counter[str] = Counter()
+        self._demo = demo
+        self._nodes = nodes
+        self._stop = Event()
+        self._threads = [Thread(target=self._send, args=(i,)) for i in range(CALLERS)]
+
+    def start(self) -> None:
+        """Start the callers."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop the callers."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _send(self, index: int) -> None:
+        node = self._nodes[index % len(self._nodes)]
+        headers = {"authorization": f"Bearer {self._demo.keys[ACCOUNTS[0]]}"}
+        paths = ("/catalogue/items", "/bookings/items", "/bookings/chain/catalogue/x")
+        with httpx.Client(
+            base_url=node.caller_url, headers=headers, timeout=15.0
+        ) as client:
+            while not self._stop.wait(CALL_PAUSE_S):
+                for path in paths:
+                    self.counts[_send_once(client, path)] += 1
+
+
+def _send_once(client: httpx.Client, path: str) -> str:
+    try:
+        answer = client.get(path)
+    except httpx.HTTPError as error:
+        return type(error).__name__
+    return str(answer.headers.get("endivebeam-reason", answer.status_code))
+
+
+class Faults:
+    """Faults that follow each other; each one ends before the next."""
+
+    def __init__(self, *, demo: Demo, spare: FleetNode, rng: random.Random) -> None:
+        self._demo = demo
+        self._fleet = demo.fleet
+        self._spare = spare
+        self._rng = rng
+        self.counts: Counter[str] = Counter()
+
+    def run_one(self) -> None:
+        """Cause one fault."""
+        faults: list[Callable[[], None]] = [
+            self.take_store_down,
+            self.lose_answers,
+            self.pause_node,
+            self.replace_node,
+            self.change_contract,
+        ]
+        fault = self._rng.choice(faults)
+        fault()
+        self.counts[fault.__name__] += 1
+
+    def take_store_down(self) -> None:
+        """The platform answers nothing for some seconds."""
+        self._during("down")
+
+    def lose_answers(self) -> None:
+        """The platform applies writes and answers none of them."""
+        self._during("lose_answers")
+
+    def pause_node(self) -> None:
+        """A node stands still for some seconds."""
+        self._spare.node.send_signal(signal.SIGSTOP)
+        time.sleep(FAULT_S)
+        self._spare.node.send_signal(signal.SIGCONT)
+
+    def replace_node(self) -> None:
+        """A node and its target are killed; another instance takes their place."""
+        self._spare.node.kill()
+        self._spare.target.kill()
+        self._fleet.nodes.remove(self._spare)
+        self._spare = self._fleet.start_node(service="bookings", domain="domain-c")
+
+    def change_contract(self) -> None:
+        """An operator changes a contract."""
+        rate = self._rng.uniform(50, 150)
+        self._demo.change(put_contract(ACCOUNTS[1], rate=rate))
+
+    def _during(self, mode: str) -> None:
+        self._fleet.set_faults(mode)
+        time.sleep(FAULT_S)
+        self._fleet.set_faults("none")
+
+
+def _memory_mb(node: FleetNode) -> float:
+    status = Path(f"/proc/{node.node.pid}/status").read_text()
+    resident = next(x for x in status.splitlines() if x.startswith("VmRSS"))
+    return int(resident.split()[1]) / 1024
+
+
+def _open_files(node: FleetNode) -> int:
+    return len(list(Path(f"/proc/{node.node.pid}/fd").iterdir()))
+
+
+def print_sample(elapsed_s: float, nodes: list[FleetNode], answered: int) -> None:
+    """Print memory and open files of the nodes that were never replaced."""
+    memory = [_memory_mb(node) for node in nodes]
+    files = [_open_files(node) for node in nodes]
+    print(
+        f"{elapsed_s:7.0f} s  memory MB {statistics.median(memory):6.1f} "
+        f"{max(memory):6.1f}  files {statistics.median(files):5.0f} {max(files):4d}  "
+        f"calls {answered}",
+        flush=True,
+    )
+
+
+def main(
+    seed: Annotated[int, typer.Option()] = 1,
+    minutes: Annotated[float, typer.Option()] = 10.0,
+) -> None:
+    """Run the fleet with faults and print a sample each minute."""
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        run_fleet(Path(directory), log_level="WARNING") as fleet,
+    ):
+        demo = Demo(fleet=fleet)
+        start_fleet(fleet)
+        write_contracts(demo)
+        demo.change(put_contract(ACCOUNTS[0], rate=1e5))
+        steady = fleet.nodes[:5]
+        load = Load(demo=demo, nodes=steady)
+        faults = Faults(demo=demo, spare=fleet.nodes[5], rng=random.Random(seed))
+        print(f"seed {seed}; median and largest of {len(steady)} nodes")
+        load.start()
+        try:
+            _run(minutes * 60, load, faults, steady)
+        finally:
+            load.stop()
+        print(f"faults: {dict(sorted(faults.counts.items()))}")
+        print(f"calls: {dict(sorted(load.counts.items()))}")
+
+
+def _run(
+    duration_s: float, load: Load, faults: Faults, steady: list[FleetNode]
+) -> None:
+    started = time.monotonic()
+    sampled = -SAMPLE_PERIOD_S
+    while (elapsed := time.monotonic() - started) < duration_s:
+        if elapsed - sampled >= SAMPLE_PERIOD_S:
+            sampled = elapsed
+            print_sample(elapsed, steady, sum(load.counts.values()))
+        faults.run_one()
+        time.sleep(max(0.0, FAULT_PERIOD_S - FAULT_S))
+    print_sample(time.monotonic() - started, steady, sum(load.counts.values()))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/packages/endivebeam-model/src/endivebeam_model/_document.py
+++ b/packages/endivebeam-model/src/endivebeam_model/_document.py
@@ -194,22 +194,21 @@
             message = f"{route.method} {route.path} is listed twice; remove one route"
             findings.append(source.make_finding((*path, index), message))
         seen.add(name)
-        findings += _warn_at_most_once(source, (*path, index), route)
+        findings += _check_at_most_once(source, (*path, index), route)
     return findings
 
 
-def _warn_at_most_once(source: Source, path: Path, route: RouteEntry) -> list[Finding]:
+def _check_at_most_once(source: Source, path: Path, route: RouteEntry) -> list[Finding]:
     if route.semantics is not Semantics.AT_MOST_ONCE:
         return []
     findings = []
-    warning = Severity.WARNING
     if route.criticality is not Criticality.CRITICAL:
         message = "an at_most_once route is shed early; set criticality: critical"
-        findings.append(source.make_finding(path, message, warning))
+        findings.append(source.make_finding(path, message, Severity.WARNING))
     if route.open:
         message = (
             "callers of an open route share one scope of idempotency keys, "
             "so one may receive the response of another; set open: false"
         )
-        findings.append(source.make_finding((*path, "open"), message, warning))
+        findings.append(source.make_finding((*path, "open"), message))
     return findings
--- a/packages/endivebeam-model/tests/test_documents.py
+++ b/packages/endivebeam-model/tests/test_documents.py
@@ -108,6 +108,8 @@
             ('"*", path: /}', "POST, path: /deposits/}", "listed twice"),
             ("services:\n", "  - {account: northfit-rentals, rate_per_s: 1, burst: 1}"
              "\nservices:\n", "already defined in line 2"),
+            ("criticality: critical}", "criticality: critical, open: true}",
+             "error: services[0].routes[0].open: callers of an open route"),
             ("burst: 240", 'burst: "240"', "valid number"),
             ("burst: 240", "burst: .inf", "finite"),
             ("burst: 240", "burst: [", "not valid YAML"),
