--- a/packages/endivebeam-standins/src/endivebeam_standins/_fleet.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/_fleet.py
@@ -120,6 +120,7 @@
         slots: int = 50,
         connections: int = 400,
         service_time_ms: float = 0.0,
+        cold_start_s: float = 0.0,
     ) -> FleetNode:
         """Start a node and the target beside it."""
         self._started += 1
@@ -138,6 +139,7 @@
             f"--slots={slots}",
             f"--connections={connections}",
             f"--service-time-ms={service_time_ms}",
+            f"--cold-start-s={cold_start_s}",
         ]
         target = self._spawn(f"{name}-target", arguments)
         fleet_node = FleetNode(
--- a/packages/endivebeam-standins/src/endivebeam_standins/target.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/target.py
@@ -11,6 +11,7 @@
 
 import base64
 import signal
+import time
 from collections import Counter, deque
 from pathlib import Path
 from typing import Annotated
@@ -33,6 +34,8 @@
 
 ANNOUNCE_PERIOD_S = 2.0
 RETRY_PERIOD_S = 0.1
+# A target that has just started takes this much longer for a call.
+COLD_FACTOR = 5.0
 MAX_PATHS = 4096
 
 
@@ -54,6 +57,7 @@
     """
 
     service_time_ms: float = 0.0
+    lag_reports: bool = False
     answer_delay_ms: float = 0.0
     refuse: bool = False
     fail: bool = False
@@ -71,6 +75,7 @@
         slots: int,
         connections: int,
         service_time_ms: float,
+        cold_start_s: float = 0.0,
     ) -> None:
         self.name = name
         self.service = service
@@ -80,6 +85,8 @@
         self.draining = False
         self.executions: Counter[str] = Counter()
         self.in_use = 0
+        self._warm_at = time.monotonic() + cold_start_s
+        self._last_reported = 0
         self.peak_in_use = 0
         self.peak_offered = 0
         self.paths: deque[str] = deque(maxlen=MAX_PATHS)
@@ -122,7 +129,7 @@
             "slots": self.slots,
             "connections": self.connections,
             "state": "draining" if self.draining else "serving",
-            "in_use": self.in_use,
+            "in_use": self._report_load(),
         }
         try:
             answer = await self._node.put("/v1/target", json=announcement)
@@ -132,7 +139,7 @@
 
     async def _run(self, request: Request) -> Response:
         if self.control.service_time_ms:
-            await anyio.sleep(self.control.service_time_ms / 1000)
+            await anyio.sleep(self._service_time_s())
         if self.control.fail:
             return Response(status=500)
         path = request.target.partition("?")[0]
@@ -144,6 +151,15 @@
             return await self._call_next(request)
         return _json(self._echo(request))
 
+    def _service_time_s(self) -> float:
+        factor = COLD_FACTOR if time.monotonic() < self._warm_at else 1.0
+        return self.control.service_time_ms / 1000 * factor
+
+    def _report_load(self) -> int:
+        # With the fault switched on, each report is that of the time before.
+        previous, self._last_reported = self._last_reported, self.in_use
+        return previous if self.control.lag_reports else self.in_use
+
     async def _call_next(self, request: Request) -> Response:
         token = request.get(b"endivebeam-context") or b""
         answer = await self._node.request(
@@ -205,6 +221,7 @@
     slots: Annotated[int, typer.Option()] = 50,
     connections: Annotated[int, typer.Option()] = 400,
     service_time_ms: Annotated[float, typer.Option()] = 0.0,
+    cold_start_s: Annotated[float, typer.Option()] = 0.0,
 ) -> None:
     """Run one target stand-in."""
     target = Target(
@@ -214,6 +231,7 @@
         slots=slots,
         connections=connections,
         service_time_ms=service_time_ms,
+        cold_start_s=cold_start_s,
     )
     anyio.run(run, target, ports_file)
 
