--- a/packages/endivebeam-model/src/endivebeam_model/__init__.py
+++ b/packages/endivebeam-model/src/endivebeam_model/__init__.py
@@ -40,20 +40,8 @@
     to_contract,
     to_service,
 )
-from ._document import (
-    MAX_TIMEOUT_MS,
-    ContractDocument,
-    check_document,
-    load_document,
-)
-from ._findings import (
-    Finding,
-    Place,
-    Severity,
-    Source,
-    format_path,
-    has_errors,
-)
+from ._document import MAX_TIMEOUT_MS, ContractDocument, check_document, load_document
+from ._findings import Finding, Place, Severity, Source, format_path, has_errors
 from ._ids import (
     AccountId,
     ChainId,
--- a/packages/endivebeam-node/src/endivebeam_node/__init__.py
+++ b/packages/endivebeam-node/src/endivebeam_node/__init__.py
@@ -1,42 +1,17 @@
 """The endivebeam node daemon."""
 
-from ._contacts import (
-    Contacts,
-)
-from ._daemon import (
-    run_daemon,
-)
-from ._fleet_view import (
-    FleetView,
-)
-from ._holder import (
-    ShareHolder,
-)
-from ._leases import (
-    LeaseKeeper,
-)
+from ._contacts import Contacts
+from ._daemon import run_daemon
+from ._fleet_view import FleetView
+from ._holder import ShareHolder
+from ._leases import LeaseKeeper
 from ._listening import Ports
-from ._main import (
-    main,
-)
-from ._peers import (
-    UnreachableError,
-)
-from ._rates import (
-    Rates,
-)
-from ._relays import (
-    serve_relay,
-)
-from ._settings import (
-    Operator,
-    SeedAddress,
-    Settings,
-)
-from ._settings_load import (
-    SettingsError,
-    load_settings,
-)
+from ._main import main
+from ._peers import UnreachableError
+from ._rates import Rates
+from ._relays import serve_relay
+from ._settings import Operator, SeedAddress, Settings
+from ._settings_load import SettingsError, load_settings
 
 __all__ = [
     "Contacts",
--- a/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
@@ -1,11 +1,6 @@
 """Typed peer messages, their frames and the streams that carry them."""
 
-from ._base import (
-    MAX_BODY_BYTES,
-    MAX_FRAME_BYTES,
-    PROTOCOL_VERSION,
-    Header,
-)
+from ._base import MAX_BODY_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION, Header
 from ._burn_messages import CountsKept, SendCounts
 from ._call_messages import (
     AskOutcome,
@@ -17,11 +12,7 @@
     Outcome,
     OutcomeState,
 )
-from ._codec import (
-    FrameError,
-    FrameReader,
-    encode_frame,
-)
+from ._codec import FrameError, FrameReader, encode_frame
 from ._fleet_messages import (
     AskEntries,
     AskSnapshot,
@@ -37,11 +28,7 @@
     RumorAck,
     SnapshotPiece,
 )
-from ._messages import (
-    Message,
-    Reply,
-    Request,
-)
+from ._messages import Message, Reply, Request
 from ._rate_messages import (
     AskGrant,
     BucketLevel,
@@ -54,12 +41,7 @@
     RelayStore,
     ShareTaken,
 )
-from ._streams import (
-    Answer,
-    PeerStream,
-    StreamFullError,
-    StreamLostError,
-)
+from ._streams import Answer, PeerStream, StreamFullError, StreamLostError
 from ._tls import TlsContext, TlsFiles, check_tls_files
 
 __all__ = [
