Use the contact ages of the membership package in the virtual fleet

The node package still had the first version of these ages, which only the virtual fleet of the rate share tests used; the daemon uses those of membership. The tests run the same rules as the daemon now.

--- a/packages/endivebeam-node/src/endivebeam_node/__init__.py
+++ b/packages/endivebeam-node/src/endivebeam_node/__init__.py
@@ -1,6 +1,5 @@
 """The endivebeam node daemon."""
 
-from ._contacts import Contacts
 from ._daemon import run_daemon
 from ._fleet_view import FleetView
 from ._holder import ShareHolder
@@ -14,7 +13,6 @@
 from ._settings_load import SettingsError, load_settings
 
 __all__ = [
-    "Contacts",
     "FleetView",
     "LeaseKeeper",
     "Operator",
--- a/packages/endivebeam-standins/src/endivebeam_standins/virtual_rates.py
+++ b/packages/endivebeam-standins/src/endivebeam_standins/virtual_rates.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from endivebeam_limits import LeaseTimes, ShareLayout
+from endivebeam_membership import Contacts
 from endivebeam_model import (
     AccountId,
     Address,
@@ -26,7 +27,6 @@
     ServiceName,
 )
 from endivebeam_node import (
-    Contacts,
     FleetView,
     LeaseKeeper,
     Rates,
@@ -45,7 +45,6 @@
 from endivebeam_wire import (
     AskGrant,
     HandOverShare,
-    HeartbeatEcho,
     RelayStore,
     Reply,
     Request,
@@ -111,7 +110,7 @@
         await self._node.gate()
         if self._is_down():
             return Failure(Unavailable(message="down"))
-        self._node.contacts.note_store_answer()
+        self._node.note_store_answer()
         return Success(self._table.rows.get(key))
 
     async def scan(
@@ -130,7 +129,7 @@
             case StoreFault.LATE_WRITES:
                 self._table.commit_late(transaction)
                 return Failure(Unavailable(message="late", maybe_applied=True))
-        self._node.contacts.note_store_answer()
+        self._node.note_store_answer()
         return self._table.commit(transaction)
 
     def _is_down(self) -> bool:
@@ -148,7 +147,7 @@
         self.running = asyncio.Event()
         self.stopped_at: float | None = None
         self.killed = False
-        self.contacts = Contacts(own_domain=member.domain, clock=fleet.loop.time)
+        self.contacts = Contacts(domain=member.domain)
         table = _TableClient(table=fleet.table, node=self)
         self.holder = ShareHolder(
             layout=fleet.layout,
@@ -157,8 +156,8 @@
                 local=lambda: self.member,
                 live=lambda: fleet.live(self),
                 find=lambda node_id: fleet.find(self, node_id),
-                contact_ages=self.contacts.domain_ages,
-                store_age=self.contacts.store_age,
+                contact_ages=lambda: self.contacts.domain_ages(fleet.loop.time()),
+                store_age=lambda: self.contacts.store_age(fleet.loop.time()),
             ),
             table=table,
             ask=self._ask,
@@ -171,6 +170,17 @@
         self.rates: Rates | None = None
         self._task: asyncio.Task[None] | None = None
 
+    def note_store_answer(self) -> None:
+        """Note an answer of the store to this node."""
+        self.contacts.store_answered(self.fleet.loop.time())
+
+    def hear(self, other: "VirtualNode") -> None:
+        """Take the echo of a heartbeat from another node."""
+        now = self.fleet.loop.time()
+        ages = other.contacts.domain_ages(now)
+        self.contacts.answered(other.domain, now)
+        self.contacts.learn(other.domain, ages, other.contacts.store_age(now), now)
+
     async def gate(self) -> None:
         """Wait while the process is paused."""
         await self.running.wait()
@@ -340,13 +350,5 @@
             for node in running:
                 for other in running:
                     if node is not other and self.connected(node, other):
-                        node.contacts.note_echo(other.domain, _echo(other))
+                        node.hear(other)
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
-
-
-def _echo(node: VirtualNode) -> HeartbeatEcho:
-    return HeartbeatEcho(
-        request_id=0,
-        store_age_ms=node.contacts.store_age_ms(),
-        domain_ages_ms=node.contacts.domain_ages_ms(),
-    )
