Read process figures in one module; remove an unused bound

Three experiments each read CPU time, memory or open files of a node from /proc; they share benchmarks/processes.py now. MAX_IN_FLIGHT was never used: the calls in flight are bounded by admission, which the doc comment says.

Checked with lint and types, the tests of nested calls, of local admission and of the capacity page, and a short run of benchmarks.soak; the whole test suite was not run again after it.

--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -7,7 +7,6 @@
 fleet of separate processes, with every node linked to every other.
 """
 
-import os
 import random
 import tempfile
 import time
@@ -41,7 +40,7 @@
     authenticate,
     digest_key,
 )
-from endivebeam_standins import Fleet, FleetNode, run_fleet
+from endivebeam_standins import Fleet, run_fleet
 from endivebeam_wire import (
     AskGrant,
     Grant,
@@ -51,6 +50,8 @@
     encode_frame,
 )
 
+from .processes import read_cpu_s, read_memory_mb
+
 RESULTS = Path(__file__).parent / "results" / "capacity.json"
 KEYS_PER_ACCOUNT = 2
 SMALL = 500
@@ -160,17 +161,6 @@
     return len(encode_frame(echo))
 
 
-def _cpu_s(node: FleetNode) -> float:
-    fields = Path(f"/proc/{node.node.pid}/stat").read_text().rsplit(") ", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def _memory_mb(node: FleetNode) -> float:
-    status = Path(f"/proc/{node.node.pid}/status").read_text()
-    resident = next(x for x in status.splitlines() if x.startswith("VmRSS"))
-    return int(resident.split()[1]) / 1024
-
-
 def start_idle_fleet(fleet: Fleet) -> None:
     """Start seven nodes, so that each has the six links of a large fleet."""
     for index in range(7):
@@ -199,16 +189,16 @@
         run_fleet(Path(directory), log_level="WARNING") as fleet,
     ):
         start_idle_fleet(fleet)
-        before = [_cpu_s(node) for node in fleet.nodes]
+        before = [read_cpu_s(node) for node in fleet.nodes]
         time.sleep(IDLE_S)
         used = [
-            (_cpu_s(node) - cpu_s) / IDLE_S
+            (read_cpu_s(node) - cpu_s) / IDLE_S
             for node, cpu_s in zip(fleet.nodes, before, strict=True)
         ]
         return Idle(
             least_core=min(used),
             most_core=max(used),
-            memory_mb=max(_memory_mb(node) for node in fleet.nodes),
+            memory_mb=max(read_memory_mb(node) for node in fleet.nodes),
         )
 
 
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -9,7 +9,6 @@
     python -m benchmarks.latency --seed 1 --repetitions 5
 """
 
-import os
 import random
 import secrets
 import statistics
@@ -33,6 +32,8 @@
 from endivebeam_standins import Fleet, FleetNode, run_fleet
 from endivebeam_standins.demo import Demo
 
+from .processes import read_cpu_s, read_memory_mb
+
 SERVICE = "catalogue"
 ACCOUNT = "northfit-rentals"
 GOAL_ADDED_P99_MS = 0.32
@@ -251,10 +252,10 @@
 
 def _print_saturation(ways: list[Way], nodes: list[FleetNode]) -> None:
     for way in ways:
-        before = [_cpu_s(node) for node in nodes]
+        before = [read_cpu_s(node) for node in nodes]
         per_s = anyio.run(partial(saturate, way, seconds=SATURATION_S, connections=8))
         used_ms = [
-            (_cpu_s(node) - cpu_s) * 1000 / (per_s * SATURATION_S)
+            (read_cpu_s(node) - cpu_s) * 1000 / (per_s * SATURATION_S)
             for node, cpu_s in zip(nodes, before, strict=True)
         ]
         listed = ", ".join(f"{ms:.3f}" for ms in used_ms)
@@ -264,16 +265,9 @@
         )
 
 
-def _cpu_s(node: FleetNode) -> float:
-    fields = Path(f"/proc/{node.node.pid}/stat").read_text().rsplit(") ", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def _print_cost(nodes: list[FleetNode]) -> None:
     for node in nodes:
-        status = Path(f"/proc/{node.node.pid}/status").read_text()
-        resident = next(x for x in status.splitlines() if x.startswith("VmRSS"))
-        print(f"memory of node {node.name}: {resident.split()[1]} kB")
+        print(f"memory of node {node.name}: {read_memory_mb(node):.1f} MB")
 
 
 if __name__ == "__main__":
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -31,6 +31,8 @@
     write_contracts,
 )
 
+from .processes import count_open_files, read_memory_mb
+
 CALLERS = 4
 CALL_PAUSE_S = 0.02
 FAULT_PERIOD_S = 20.0
@@ -134,20 +136,10 @@
         self._fleet.set_faults("none")
 
 
-def _memory_mb(node: FleetNode) -> float:
-    status = Path(f"/proc/{node.node.pid}/status").read_text()
-    resident = next(x for x in status.splitlines() if x.startswith("VmRSS"))
-    return int(resident.split()[1]) / 1024
-
-
-def _open_files(node: FleetNode) -> int:
-    return len(list(Path(f"/proc/{node.node.pid}/fd").iterdir()))
-
-
 def print_sample(elapsed_s: float, nodes: list[FleetNode], answered: int) -> None:
     """Print memory and open files of the nodes that were never replaced."""
-    memory = [_memory_mb(node) for node in nodes]
-    files = [_open_files(node) for node in nodes]
+    memory = [read_memory_mb(node) for node in nodes]
+    files = [count_open_files(node) for node in nodes]
     print(
         f"{elapsed_s:7.0f} s  memory MB {statistics.median(memory):6.1f} "
         f"{max(memory):6.1f}  files {statistics.median(files):5.0f} {max(files):4d}  "
--- a/packages/endivebeam-node/src/endivebeam_node/_inflight.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_inflight.py
@@ -10,8 +10,6 @@
 
 from ._randoms import random_hex
 
-MAX_IN_FLIGHT = 8192
-
 K = TypeVar("K")
 
 
@@ -85,7 +83,10 @@
 
 
 class InFlight:
-    """Contexts by token and by trace id."""
+    """Contexts by token, trace id and chain.
+
+    Admission bounds their number: only calls that hold a slot have one.
+    """
 
     def __init__(self) -> None:
         self._by_token: dict[str, Context] = {}
