--- a/packages/endivebeam-http/src/endivebeam_http/__init__.py
+++ b/packages/endivebeam-http/src/endivebeam_http/__init__.py
@@ -17,6 +17,7 @@
     get_field,
     strip_hop_by_hop,
 )
+from ._parsers import RequestParser
 from ._pipeline import (
     Exchange,
     ExchangeHandler,
@@ -44,6 +45,7 @@
     "NotSentError",
     "PipelinedServer",
     "Request",
+    "RequestParser",
     "Response",
     "ResponseQueue",
     "ServerConnection",
--- a/packages/endivebeam-http/src/endivebeam_http/_transport.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_transport.py
@@ -94,6 +94,11 @@
         protocol = self._protocol
         return not (protocol.ended or protocol.chunks or self._closed)
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the connection has ended, or the other side ended its half."""
+        return self._protocol.ended or self._closed
+
     def expire_after(self, seconds: float) -> asyncio.TimerHandle:
         """Let later waits fail with ``TimeoutError``; cancel the result to undo it.
 
