Grant no window twice after a holder is killed; scale grants with changed terms

Cause: a holder that was killed forgot what it had granted and gave the whole burst and a second of the rate again: 192 tokens in a window that allows 152 (new test, deterministic). A node that had read the configuration but not the members took itself for the whole fleet.

Now a new holder assumes the worst grants before it, grants are scaled when terms change, and a node without the members answers 503 and lends nothing. Ruled out: equal parts without lending (refused four fifths of one node's demand).

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_allowances.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_allowances.py
@@ -49,22 +49,56 @@
     wanted: float
 
 
+class _Terms(msgspec.Struct, frozen=True):
+    """What one account may have of the parts lent to the holder.
+
+    ``burst`` bounds the tokens that wait or are held, ``window`` all that is granted
+    in one window.
+    """
+
+    rate_per_s: float
+    burst: float
+    window: float
+
+
 class _Pool:
     """Tokens of one account at its holder."""
 
-    __slots__ = ("at", "granted", "held", "level")
+    __slots__ = ("_scale", "_since", "at", "granted", "held", "level")
 
-    def __init__(self, *, level: float, now: float) -> None:
-        self.level = level
+    def __init__(self, *, now: float) -> None:
+        self.level = 0.0
         self.at = now
         self.held: dict[NodeId, float] = {}
         self.granted: deque[tuple[float, float]] = deque()
-
-    def count_granted(self, since: float) -> float:
-        """Return the tokens granted after a time; older grants are forgotten."""
-        while self.granted and self.granted[0][0] < since:
+        self._since = now
+        self._scale = 0.0
+
+    def rescale(self, window: float) -> None:
+        """Count earlier grants in proportion when the account's terms change.
+
+        Counted in full, they would fill a smaller window for its whole length, and
+        the account would get nothing.
+        """
+        if self._scale and window != self._scale:
+            ratio = window / self._scale
+            self.level *= ratio
+            self.granted = deque((t, tokens * ratio) for t, tokens in self.granted)
+        self._scale = window
+
+    def count_granted(self, terms: _Terms, window_s: float, now: float) -> float:
+        """Return the tokens granted in the window that ends now.
+
+        An earlier holder may have granted whole windows until this pool began, so
+        its grants are assumed until the window no longer reaches back to them.
+        """
+        while self.granted and self.granted[0][0] < now - window_s:
             self.granted.popleft()
-        return sum(tokens for _, tokens in self.granted)
+        known = sum(tokens for _, tokens in self.granted)
+        age_s = now - self._since
+        if age_s >= window_s:
+            return known
+        return known + terms.window - terms.rate_per_s * age_s
 
 
 class AllowanceHolder:
@@ -123,16 +157,16 @@
     ) -> float:
         pool = self._pools.get(limit.account)
         if pool is None:
-            pool = _Pool(level=0.0, now=now - 1.0)
-            self._pools[limit.account] = pool
+            pool = self._pools[limit.account] = _Pool(now=now)
+        terms = self._terms_of(limit, part)
+        full = self._terms_of(limit, 1.0)
+        pool.rescale(full.window)
         pool.held[node_id] = max(0.0, need.held)
-        burst = (limit.burst * self._over + self._slack) * part
-        window = limit.rate_per_s * self._window_s * self._over * part + burst
-        room = max(0.0, burst - sum(pool.held.values()))
-        refill = max(0.0, now - pool.at) * window / self._window_s
+        room = max(0.0, terms.burst - sum(pool.held.values()))
+        refill = max(0.0, now - pool.at) * terms.window / self._window_s
         pool.level = min(room, pool.level + refill)
         pool.at = now
-        left = window - pool.count_granted(now - self._window_s)
+        left = terms.window - pool.count_granted(terms, self._window_s, now)
         tokens = max(0.0, min(pool.level, left, need.wanted - need.held))
         if not math.isfinite(tokens) or not tokens:
             return 0.0
@@ -141,6 +175,11 @@
         pool.held[node_id] += tokens
         return tokens
 
+    def _terms_of(self, limit: AccountTerms, part: float) -> _Terms:
+        rate_per_s = limit.rate_per_s * self._over * part
+        burst = (limit.burst * self._over + self._slack) * part
+        return _Terms(rate_per_s, burst, rate_per_s * self._window_s + burst)
+
     def _expire(self, now: float) -> None:
         gone = [n for n, until in self._lenders.items() if until <= now]
         for node_id in gone:
@@ -231,6 +270,8 @@
             wallet.asked = wanted - wallet.tokens
             if wanted > MIN_WANTED:
                 needs[account] = TokenNeed(held=wallet.tokens, wanted=wanted)
+            else:
+                wallet.dry = False
         return needs
 
     def receive(self, granted: Mapping[AccountId, float]) -> None:
--- a/packages/endivebeam-fleet/tests/test_allowances.py
+++ b/packages/endivebeam-fleet/tests/test_allowances.py
@@ -1,5 +1,6 @@
 """Tests of rate allowances under any order of exchanges, cuts and crashes."""
 
+import msgspec
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -30,7 +31,14 @@
         self.holders = {n: AllowanceHolder(tolerance=TOLERANCE) for n in NODES}
         self.spent: list[float] = []
 
-    def exchange(self, node: NodeId, preferred: NodeId, *, lost: bool = False) -> None:
+    def exchange(
+        self,
+        node: NodeId,
+        preferred: NodeId,
+        *,
+        lost: bool = False,
+        terms: AccountTerms = TERMS,
+    ) -> None:
         borrower = self.borrowers[node]
         borrower.choose_holder(preferred, self.now)
         if borrower.holder is None:
@@ -40,12 +48,17 @@
             node_id=node,
             fleet_size=len(NODES),
             needs=needs,
-            terms={ACCOUNT: TERMS},
+            terms={ACCOUNT: terms},
             now=self.now,
         )
         if not lost:
             borrower.receive(granted)
 
+    def restart(self, node: NodeId) -> None:
+        """Lose all that a node knows, as a kill does."""
+        self.borrowers[node] = AllowanceBorrower()
+        self.holders[node] = AllowanceHolder(tolerance=TOLERANCE)
+
     def spend(self, node: NodeId, count: int) -> int:
         served = 0
         for _ in range(count):
@@ -79,8 +92,8 @@
         self.fleet.now += seconds
 
     @rule(node=st.sampled_from(NODES))
-    def restart_borrower(self, node: NodeId) -> None:
-        self.fleet.borrowers[node] = AllowanceBorrower()
+    def restart(self, node: NodeId) -> None:
+        self.fleet.restart(node)
 
     @invariant()
     def no_window_exceeds_the_tolerated_allowance(self) -> None:
@@ -179,3 +192,49 @@
         fleet.spend(NODES[1], 15)
         fleet.exchange(NODES[1], NODES[0])
         assert fleet.spend(NODES[1], 15) >= 14
+
+    def test_killed_holder_does_not_grant_the_window_again(self):
+        # A holder that forgot what it had granted gave the whole burst once more.
+        fleet = Fleet()
+        most = (RATE * WINDOW_S + BURST) * (1 + TOLERANCE.over) + TOLERANCE.slack
+        for step in range(int(2 * WINDOW_S / 0.05)):
+            fleet.now += 0.05
+            if step and step % 50 == 0:
+                fleet.restart(NODES[0])
+            for node in NODES:
+                fleet.exchange(node, NODES[0])
+            fleet.spend(NODES[1], 30)
+        for start in fleet.spent:
+            end = start + WINDOW_S
+            assert sum(1 for t in fleet.spent if start <= t <= end) <= most
+
+    def test_lower_rate_is_granted_from_the_moment_of_the_change(self):
+        # The grants under the old rate filled the new window for its whole length,
+        # so that the account got nothing at all.
+        fleet = Fleet()
+        for _ in range(int(WINDOW_S / 0.05)):
+            fleet.now += 0.05
+            for node in NODES:
+                fleet.exchange(node, NODES[0])
+            fleet.spend(NODES[1], 30)
+        lower = msgspec.structs.replace(TERMS, rate_per_s=RATE / 4, burst=BURST / 4)
+        served = 0
+        for _ in range(int(2.0 / 0.05)):
+            fleet.now += 0.05
+            for node in NODES:
+                fleet.exchange(node, NODES[0], terms=lower)
+            served += fleet.spend(NODES[1], 30)
+        assert served >= 0.8 * 2.0 * lower.rate_per_s
+
+    def test_rate_that_falls_and_rises_again_brings_no_second_burst(self):
+        fleet = Fleet()
+        lower = msgspec.structs.replace(TERMS, rate_per_s=RATE / 4, burst=BURST / 4)
+        most = (RATE * WINDOW_S + BURST) * (1 + TOLERANCE.over) + TOLERANCE.slack
+        for step in range(int(2 * WINDOW_S / 0.05)):
+            fleet.now += 0.05
+            for node in NODES:
+                fleet.exchange(node, NODES[0], terms=lower if step % 20 == 5 else TERMS)
+            fleet.spend(NODES[1], 30)
+        for start in fleet.spent:
+            end = start + WINDOW_S
+            assert sum(1 for t in fleet.spent if start <= t <= end) <= most
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
@@ -123,6 +123,7 @@
             member is None
             or member.node_id != preferred
             or self._knowledge.index is None
+            or not self._knowledge.knows_members
         ):
             return
         tokens = await self._lend(member, self._borrower.lend(now))
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -101,6 +101,8 @@
         index = self._knowledge.index
         if index is None:
             return _not_ready("no configuration is known yet")
+        if not self._knowledge.knows_members:
+            return _not_ready("the members of the fleet are not known yet")
         host = (request.get(b"host") or b"").decode("latin-1")
         route = index.find_route(host, request.target)
         if route is None:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -165,7 +165,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers should send new requests to this node."""
-        return self._knowledge.index is not None and not self._stopping
+        known = self._knowledge.index is not None and self._knowledge.knows_members
+        return known and not self._stopping
 
     async def check_readiness(self, exchange: Exchange) -> Response:
         """Answer a check of readiness."""
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
@@ -96,6 +96,7 @@
                 digest = await self._ask(member, {})
                 if digest != self._knowledge.directory.digest():
                     await self._ask(member, self._knowledge.directory.versions())
+            self._knowledge.knows_members = True
         except (LinkNotOpenError, LinkLostError, TimeoutError) as error:
             logger.bind(peer=member.node_id, reason=str(error)).debug(
                 "peers: An exchange of states failed."
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_state.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_state.py
@@ -36,6 +36,9 @@
         self._router = router
         self._limits = limits
         self.index: ConfigIndex | None = None
+        # Set once the store or a peer has told all members. A node that knows only
+        # itself would take the allowances of the whole fleet for its own.
+        self.knows_members = False
         self.directory = Directory()
         self.freshness = Freshness()
         self.own = Member(
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_sync.py
@@ -128,6 +128,7 @@
 
     def _take_members(self, reading: MemberReading) -> None:
         self._note_answer()
+        self._knowledge.knows_members = True
         own = self._knowledge.own.node_id
         for row in reading.rows:
             if row.member is None:
--- a/packages/endivebeam-sidecar/tests/_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_fleet.py
@@ -103,6 +103,7 @@
         self.members: dict[NodeId, tuple[Member, int]] = {}
         self.version = 1
         self.is_away = False
+        self.members_away = False
         self.cut_off: set[NodeId] = set()
         self._changed = anyio.Event()
 
@@ -120,6 +121,8 @@
 
     async def read_members(self) -> MemberReading:
         await self._answer()
+        if self.members_away:
+            raise StoreUnavailableError("the members cannot be read")
         return self._member_reading()
 
     async def watch_members(self, position: int, *, wait_s: float) -> MemberReading:
--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -126,6 +126,21 @@
             assert (await node.call("/look/x")).status == 503
             tasks.cancel_scope.cancel()
 
+    async def test_node_that_does_not_know_the_fleet_spends_no_allowances(self):
+        # It took itself for the whole fleet and granted every account its full rate.
+        store = FakeStore()
+        store.members_away = True
+        async with anyio.create_task_group() as tasks:
+            node = await start_node(tasks, store, 0, "stock", None)
+            await wait_until(lambda: node.sidecar.config_version == 1)
+            node.announce()
+            assert (await node.call("/look/x")).status == 503
+            assert not node.sidecar.is_ready
+            store.members_away = False
+            await wait_until(lambda: node.sidecar.is_ready)
+            assert (await node.call("/look/x")).status == 200
+            tasks.cancel_scope.cancel()
+
     async def test_refused_by_every_target_is_a_promise_that_nothing_ran(self):
         async with run_fleet() as fleet:
             behave_as(fleet, lambda target, request: target.refuse(request))
