Let fewer requests in while the services that they lead to are busy

Every answer between nodes now tells how long the call waited, or what the target's own calls meet below. The node beside the first target of a request limits how many run, first those that are shed first. Internal calls may wait for half of their time.

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
@@ -24,11 +24,13 @@
 )
 from ._directory import Directory, order_of
 from ._freshness import Freshness
-from ._intake import Intake, Slot, SlotState
+from ._intake import Intake
+from ._pressure import CallPressure, CallsPerRun, rate_wait
 from ._rendezvous import rank_for_key
 from ._repeats import Level, RepeatBudget
 from ._splits import SplitCursor
 from ._target_state import Announcement, TargetPhase, TargetRecord
+from ._waiting import Kind, Slot, SlotState
 
 __all__ = [
     "LEASE_S",
@@ -36,12 +38,15 @@
     "AllowanceBorrower",
     "AllowanceHolder",
     "Announcement",
+    "CallPressure",
+    "CallsPerRun",
     "ConfigIndex",
     "Destination",
     "Directory",
     "FleetConfig",
     "Freshness",
     "Intake",
+    "Kind",
     "Level",
     "RepeatBudget",
     "RequestLimits",
@@ -58,4 +63,5 @@
     "encode_config",
     "order_of",
     "rank_for_key",
+    "rate_wait",
 ]
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_config.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_config.py
@@ -110,6 +110,13 @@
         self._accounts = {
             digest: terms for terms in config.accounts for digest in terms.key_digests
         }
+        ranks = sorted({route.rank for route in config.routes})
+        # Routes of a single rank are all shed first.
+        steps = max(1, len(ranks) - 1)
+        self._shed_orders = {
+            rank: 1.0 - (len(ranks) - 1 - place) / steps
+            for place, rank in enumerate(ranks)
+        }
         self.accounts = {terms.account: terms for terms in config.accounts}
 
     def find_route(self, host: str, target: str) -> RouteRule | None:
@@ -124,6 +131,10 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def shed_order(self, route: RouteRule) -> float:
+        """Return when requests of a route are shed, from 0 (last) to 1 (first)."""
+        return self._shed_orders[route.rank]
+
     def find_account(self, key: str) -> AccountTerms | None:
         """Return the account that holds a key."""
         return self._accounts.get(digest_key(key))
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_intake.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_intake.py
@@ -5,10 +5,10 @@
 order by urgency, and are refused as soon as the wait would cost their worth.
 """
 
-import heapq
-import itertools
-from dataclasses import dataclass
-from enum import Enum
+import math
+from collections.abc import Callable
+
+from ._waiting import Kind, Slot, SlotState, WaitingCalls
 
 # Some targets slow down when nearly all of their slots are busy.
 USED_SLOTS = 0.94
@@ -17,64 +17,70 @@
 # A call may wait for this part of its objective. Work that is refused early can
 # still be served elsewhere or by the caller's own retry.
 WAIT_FRACTION = 0.25
-# One step of rank outweighs this much earlier arrival, so that less urgent
-# calls are delayed but never starved.
-RANK_STEP_S = 0.2
-# Calls of a target belong to a request that has already cost work.
-INTERNAL_HEADSTART_S = 0.1
+# An internal call may wait for this part of its time, because its refusal would
+# waste the work that its request has cost already.
+INTERNAL_WAIT_FRACTION = 0.5
+INITIAL_HOLD_S = 0.05
 HOLD_WEIGHT = 0.05
-MAX_WAITING = 512
-
+MAX_WAITING = 256
 
-class SlotState(Enum):
-    """Life cycle of a call at the intake."""
 
-    WAITING = "waiting"
-    RUNNING = "running"
-    REFUSED = "refused"
-    DONE = "done"
+class _Group:
+    """Calls of one kind that run or wait, and how long one occupies the target."""
 
+    __slots__ = ("hold_s", "running", "waiting")
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class Slot:
-    """One call at the intake; times are seconds of the node's clock.
+    def __init__(self) -> None:
+        self.running = 0
+        self.waiting = WaitingCalls()
+        self.hold_s = INITIAL_HOLD_S
 
-    ``latest_start`` is when waiting longer is no use. ``internal`` calls are
-    made by a target on behalf of a request that it runs.
-    """
 
-    rank: float
-    internal: bool
-    arrived_at: float
-    objective_s: float
-    deadline: float
-    state: SlotState = SlotState.WAITING
-    started_at: float = 0.0
-    latest_start: float = 0.0
+def _no_limit(kind: Kind) -> float:
+    return math.inf
 
 
 class Intake:
-    """Calls that wait for the local target or run there."""
+    """Calls that wait for the local target or run there.
 
-    def __init__(self) -> None:
-        self.running = 0
+    ``limit_of`` tells how many calls of a kind may run at once, because the services
+    that they lead to have no more room.
+    """
+
+    def __init__(self, *, limit_of: Callable[[Kind], float] = _no_limit) -> None:
+        self._limit_of = limit_of
+        self._groups: dict[Kind, _Group] = {}
         self._slots = 0
         self._rank_sum = 0.0
-        self._hold_s = 0.05
-        self._heap: list[tuple[float, int, Slot]] = []
-        self._waiting = 0
-        self._order = itertools.count()
         self._cold_until = 0.0
 
+    @property
+    def running(self) -> int:
+        """Number of calls that run."""
+        return sum(group.running for group in self._groups.values())
+
     @property
     def waiting(self) -> int:
         """Number of calls that wait."""
-        return self._waiting
+        return sum(len(group.waiting) for group in self._groups.values())
 
     @property
     def hold_s(self) -> float:
-        """Mean time for which a call occupies the target."""
-        return self._hold_s
+        """Mean time for which a call occupies the target, of those that run."""
+        running = self.running
+        if not running:
+            holds_s = [group.hold_s for group in self._groups.values()]
+            return max(holds_s, default=INITIAL_HOLD_S)
+        groups = self._groups.values()
+        return sum(group.running * group.hold_s for group in groups) / running
+
+    @property
+    def longest_hold_s(self) -> float:
+        """Longest mean time for which requests of callers occupy the target."""
+        return max(
+            (g.hold_s for kind, g in self._groups.items() if not kind.internal),
+            default=0.0,
+        )
 
     @property
     def mean_rank(self) -> float | None:
@@ -83,7 +89,12 @@
         The target's own calls carry no word about their request, so this is what
         is known about their urgency.
         """
-        return self._rank_sum / self.running if self.running else None
+        running = self.running
+        return self._rank_sum / running if running else None
+
+    def running_of(self, kind: Kind) -> int:
+        """Return how many calls of a kind run."""
+        return self._group(kind).running
 
     def limit(self, now: float) -> int:
         """Return how many calls may run at once."""
@@ -97,89 +108,102 @@
         self._slots = slots
         self._cold_until = now + cold_left_s
 
-    def expected_wait_s(self, now: float, ahead: int) -> float:
-        """Estimate the wait of a call with so many calls ahead of it."""
+    def expected_wait_s(self, now: float, urgency: float, kind: Kind) -> float:
+        """Estimate the wait of a call of that urgency and kind."""
+        groups = self._groups.values()
+        ahead = sum(group.waiting.count_ahead(urgency) for group in groups)
         limit = max(1, self.limit(now))
         missing = self.running + ahead + 1 - limit
-        return max(0.0, missing * self._hold_s / limit)
+        wait_s = max(0.0, missing * self.hold_s / limit)
+        kind_limit = self._limit_of(kind)
+        if math.isinf(kind_limit):
+            return wait_s
+        group = self._group(kind)
+        ahead_in_group = group.waiting.count_ahead(urgency)
+        missing_in_group = group.running + ahead_in_group + 1 - kind_limit
+        return max(wait_s, missing_in_group * group.hold_s / kind_limit)
 
     def arrive(self, slot: Slot, now: float) -> None:
         """Start, queue or refuse a call; its state tells which."""
+        group = self._group(slot.kind)
         slot.latest_start = self._latest_start(slot)
-        if self._waiting == 0 and self.running < self.limit(now):
+        if not group.waiting and self._has_room(slot, now):
             self._start(slot, now)
             return
-        key = _urgency(slot)
-        ahead = sum(1 for k, _, s in self._heap if _waits(s) and k <= key)
-        expected = now + self.expected_wait_s(now, ahead)
-        if expected > slot.latest_start or self._waiting >= MAX_WAITING:
+        expected_s = self.expected_wait_s(now, slot.urgency, slot.kind)
+        if now + expected_s > slot.latest_start or self.waiting >= MAX_WAITING:
             slot.state = SlotState.REFUSED
             return
-        heapq.heappush(self._heap, (key, next(self._order), slot))
-        self._waiting += 1
+        group.waiting.add(slot)
 
     def release(self, slot: Slot, now: float, *, ran_to_end: bool) -> None:
         """End a call, wherever it was."""
+        group = self._group(slot.kind)
         state, slot.state = slot.state, SlotState.DONE
         if state is SlotState.WAITING:
-            self._waiting -= 1
+            group.waiting.forget()
         elif state is SlotState.RUNNING:
-            self.running -= 1
+            group.running -= 1
             self._rank_sum -= slot.rank
             if ran_to_end:
-                held = now - slot.started_at
-                self._hold_s += HOLD_WEIGHT * (held - self._hold_s)
+                held_s = now - slot.started_at
+                group.hold_s += HOLD_WEIGHT * (held_s - group.hold_s)
 
     def next_changes(self, now: float) -> list[Slot]:
         """Start and refuse waiting calls; return those that changed."""
         changed = []
-        while self._heap:
-            slot = self._heap[0][2]
-            if not _waits(slot):
-                heapq.heappop(self._heap)
-            elif now > slot.latest_start:
-                heapq.heappop(self._heap)
-                self._waiting -= 1
+        while (slot := self._first(now)) is not None:
+            self._group(slot.kind).waiting.take_first()
+            if now > slot.latest_start:
                 slot.state = SlotState.REFUSED
-                changed.append(slot)
-            elif self.running < self.limit(now):
-                heapq.heappop(self._heap)
-                self._waiting -= 1
-                self._start(slot, now)
-                changed.append(slot)
             else:
-                break
+                self._start(slot, now)
+            changed.append(slot)
         return changed
 
     def refuse_all(self) -> list[Slot]:
         """Refuse all waiting calls, because the target takes no more work."""
-        return self._refuse([s for _, _, s in self._heap if _waits(s)])
-
-    def _refuse(self, slots: list[Slot]) -> list[Slot]:
+        slots = [s for group in self._groups.values() for s in group.waiting.clear()]
         for slot in slots:
             slot.state = SlotState.REFUSED
-            self._waiting -= 1
-        self._heap = [entry for entry in self._heap if _waits(entry[2])]
-        heapq.heapify(self._heap)
         return slots
 
+    def _first(self, now: float) -> Slot | None:
+        """Return the next call that may start or has waited too long."""
+        firsts = (group.waiting.first() for group in self._groups.values())
+        ready = [
+            slot
+            for slot in firsts
+            if slot is not None
+            and (now > slot.latest_start or self._has_room(slot, now))
+        ]
+        return min(ready, key=_urgency, default=None)
+
+    def _has_room(self, slot: Slot, now: float) -> bool:
+        if self.running >= self.limit(now):
+            return False
+        return self._group(slot.kind).running < self._limit_of(slot.kind)
+
     def _latest_start(self, slot: Slot) -> float:
-        return min(
-            slot.arrived_at + WAIT_FRACTION * slot.objective_s,
-            slot.deadline - self._hold_s,
-        )
+        if slot.kind.internal:
+            wait_s = INTERNAL_WAIT_FRACTION * (slot.deadline - slot.arrived_at)
+        else:
+            wait_s = WAIT_FRACTION * slot.objective_s
+        hold_s = self._group(slot.kind).hold_s
+        return min(slot.arrived_at + wait_s, slot.deadline - hold_s)
 
     def _start(self, slot: Slot, now: float) -> None:
         slot.state = SlotState.RUNNING
         slot.started_at = now
-        self.running += 1
+        self._group(slot.kind).running += 1
         self._rank_sum += slot.rank
 
-
-def _waits(slot: Slot) -> bool:
-    return slot.state is SlotState.WAITING
+    def _group(self, kind: Kind) -> _Group:
+        group = self._groups.get(kind)
+        if group is None:
+            group = self._groups[kind] = _Group()
+        return group
 
 
 def _urgency(slot: Slot) -> float:
-    headstart_s = INTERNAL_HEADSTART_S if slot.internal else 0.0
-    return slot.arrived_at + slot.rank * RANK_STEP_S - headstart_s
+    return slot.urgency
--- a/packages/endivebeam-fleet/tests/test_intake.py
+++ b/packages/endivebeam-fleet/tests/test_intake.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from endivebeam_fleet import Intake, Slot, SlotState
+from endivebeam_fleet import Intake, Kind, Slot, SlotState
 
 SLOTS = 16
 
@@ -13,7 +13,7 @@
 ) -> Slot:
     return Slot(
         rank=rank,
-        internal=internal,
+        kind=Kind(internal=internal),
         arrived_at=now,
         objective_s=objective_s,
         deadline=now + 5.0,
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_attempts.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_attempts.py
@@ -51,6 +51,7 @@
     account: AccountId
     rank: float
     internal: bool
+    shed_order: float
     deadline: float
 
 
@@ -163,6 +164,8 @@
             self._router.finish(member.node_id, result, now, now - started)
             if reply is not None:
                 load = reply.load
+                if call.internal:
+                    self._target.note_own_answer(load.pressure)
                 if load.makes_calls:
                     self._callers.add(call.service)
                 self._router.report(
@@ -183,6 +186,7 @@
                 semantics=call.route.semantics,
                 rank=call.rank,
                 internal=call.internal,
+                shed_order=call.shed_order,
                 budget_ms=int((call.deadline - now) * 1000),
                 objective_ms=int(call.route.objective_s * 1000),
             )
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -118,7 +118,7 @@
             return terms
         if terms is not None and not await self._allowances.spend(terms):
             return self._refuse_rate(terms, call_id)
-        call = self._make_call(request, route, terms, call_id, arrived)
+        call = self._make_call(index, request, route, terms, call_id, arrived)
         outcome = await self._caller.run(call)
         if terms is not None and isinstance(outcome, Refusal):
             self._return_token(terms, outcome)
@@ -164,6 +164,7 @@
 
     def _make_call(
         self,
+        index: ConfigIndex,
         request: Request,
         route: RouteRule,
         terms: AccountTerms | None,
@@ -188,6 +189,7 @@
             account=terms.account if terms else AccountId(""),
             rank=self._rank(route, terms),
             internal=terms is None,
+            shed_order=index.shed_order(route),
             deadline=arrived + time_left_s,
         )
 
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
@@ -4,9 +4,19 @@
 import math
 from collections.abc import Callable
 
+import msgspec
 from loguru import logger
 
-from endivebeam_fleet import Announcement, Intake, Slot, SlotState, TargetRecord
+from endivebeam_fleet import (
+    Announcement,
+    CallPressure,
+    Intake,
+    Kind,
+    Slot,
+    SlotState,
+    TargetRecord,
+    rate_wait,
+)
 from endivebeam_http import (
     Connect,
     ConnectionLostError,
@@ -56,7 +66,8 @@
         self._headers = headers
         self._metrics = metrics
         self._on_change = on_change
-        self._intake = Intake()
+        self._pressure = CallPressure(now=read_clock())
+        self._intake = Intake(limit_of=self._pressure.limit)
         self._pool: TargetPool | None = None
         self._waiters: dict[Slot, asyncio.Future[None]] = {}
         self._tasks = TaskSet()
@@ -69,17 +80,17 @@
     def note_own_call(self) -> None:
         """Note a call that the target makes to another service."""
         self._called_at = read_clock()
+        self._pressure.note_call()
+
+    def note_own_answer(self, pressure: float) -> None:
+        """Note what the answer to a call of the target tells about the way there."""
+        self._pressure.note_answer(pressure)
+        self._adapt(read_clock())
 
     @property
     def load(self) -> TargetLoad:
         """Calls at the target and waiting for it."""
-        now = read_clock()
-        return TargetLoad(
-            self._intake.running,
-            self._intake.waiting,
-            self._intake.limit(now),
-            now - self._called_at < MAKES_CALLS_S,
-        )
+        return self._describe_load(0.0)
 
     @property
     def mean_rank(self) -> float | None:
@@ -111,6 +122,7 @@
         self._intake.configure(
             slots=announcement.slots, cold_left_s=announcement.cold_left_s, now=now
         )
+        self._pressure.configure(slots=announcement.slots)
         if before is None or _identity(before) != _identity(announcement):
             self._note_change(announcement)
 
@@ -135,7 +147,7 @@
         now = read_clock()
         slot = Slot(
             rank=call.rank,
-            internal=call.internal,
+            kind=_kind_of(call),
             arrived_at=now,
             objective_s=call.objective_ms / 1000,
             deadline=now + call.budget_ms / 1000,
@@ -148,8 +160,9 @@
             raise
         if slot.state is not SlotState.RUNNING:
             self._release(slot, answered=False)
-            reason = "target is busy" if self.record.takes_work else "target leaves"
-            return self._refuse(call, reason, leaving=not self.record.takes_work)
+            if not self.record.takes_work:
+                return self._refuse(call, "target leaves", leaving=True)
+            return self._refuse(call, "target is busy", leaving=False, pressure=1.0)
         if call.semantics is Semantics.AT_MOST_ONCE:
             # Work that cannot be repeated goes on when its caller leaves.
             return await asyncio.shield(
@@ -191,18 +204,40 @@
 
     async def _run_admitted(self, call: ForwardCall, slot: Slot) -> ForwardReply:
         answered = False
+        self._pressure.note_start(slot.kind, self._intake.running_of(slot.kind))
         try:
             reply = await self._send(call, slot)
             answered = reply.outcome is ForwardOutcome.ANSWERED
-            return reply
+            pressure = self._rate_pressure(call, slot)
+            return msgspec.structs.replace(reply, load=self._describe_load(pressure))
         finally:
+            self._pressure.note_end(slot.kind)
             self._release(slot, answered=answered)
 
     def _release(self, slot: Slot, *, answered: bool) -> None:
         now = read_clock()
         self._intake.release(slot, now, ran_to_end=answered)
+        self._adapt(now)
         self._wake(self._intake.next_changes(now))
 
+    def _adapt(self, now: float) -> None:
+        if self._pressure.update(hold_s=self._intake.longest_hold_s, now=now):
+            self._wake(self._intake.next_changes(now))
+
+    def _rate_pressure(self, call: ForwardCall, slot: Slot) -> float:
+        own = rate_wait(slot.started_at - slot.arrived_at, slot.objective_s)
+        return max(own, self._pressure.passes_on(slot.kind))
+
+    def _describe_load(self, pressure: float) -> TargetLoad:
+        now = read_clock()
+        return TargetLoad(
+            self._intake.running,
+            self._intake.waiting,
+            self._intake.limit(now),
+            now - self._called_at < MAKES_CALLS_S,
+            round(pressure, 3),
+        )
+
     async def _send(self, call: ForwardCall, slot: Slot) -> ForwardReply:
         announcement, pool = self.record.current, self._pool
         assert announcement is not None
@@ -288,9 +323,11 @@
         parts.append(call.body)
         return b"".join(parts)
 
-    def _refuse(self, call: ForwardCall, reason: str, *, leaving: bool) -> ForwardReply:
+    def _refuse(
+        self, call: ForwardCall, reason: str, *, leaving: bool, pressure: float = 0.0
+    ) -> ForwardReply:
         now = read_clock()
-        wait_s = self._intake.expected_wait_s(now, self._intake.waiting)
+        wait_s = self._intake.expected_wait_s(now, math.inf, _kind_of(call))
 
         def make_detail() -> TurnAwayDetail:
             return TurnAwayDetail(
@@ -308,7 +345,7 @@
         return ForwardReply(
             request_id=call.request_id,
             outcome=ForwardOutcome.REFUSED,
-            load=self.load,
+            load=self._describe_load(pressure),
             reason=reason,
             retry_after_ms=int(max(MIN_RETRY_AFTER_S, wait_s) * 1000),
             leaving=leaving,
@@ -354,6 +391,12 @@
         turn.set_result(None)
 
 
+def _kind_of(call: ForwardCall) -> Kind:
+    if call.internal:
+        return Kind(internal=True)
+    return Kind(internal=False, shed_order=call.shed_order)
+
+
 def _identity(announcement: Announcement) -> tuple[object, ...]:
     return (
         announcement.instance,
--- a/packages/endivebeam-sidecar/tests/test_target.py
+++ b/packages/endivebeam-sidecar/tests/test_target.py
@@ -43,6 +43,7 @@
         semantics=semantics,
         rank=0.0,
         internal=False,
+        shed_order=1.0,
         budget_ms=budget_ms,
         objective_ms=20000,
     )
--- a/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
@@ -23,13 +23,16 @@
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
     """Calls that run at a target or wait for it, and how many may run.
 
-    ``makes_calls`` says whether the target calls other services itself.
+    ``makes_calls`` says whether the target calls other services itself. ``pressure``
+    tells from 0 to 1 how long the call waited here, or what the target's own calls
+    meet at the services below if that is more.
     """
 
     running: int
     waiting: int
     limit: int
     makes_calls: bool = False
+    pressure: float = 0.0
 
 
 class ForwardOutcome(Enum):
@@ -51,7 +54,8 @@
 
     ``call_id`` identifies the caller's attempt. ``budget_ms`` is the time left
     until the final answer is due. ``internal`` calls are made by a target on
-    behalf of a request that it runs.
+    behalf of a request that it runs; ``shed_order`` tells of others from 0 (last)
+    to 1 (first) when they are shed.
     """
 
     request_id: int
@@ -65,6 +69,7 @@
     semantics: Semantics
     rank: float
     internal: bool
+    shed_order: float
     budget_ms: int
     objective_ms: int
 
