Let a new holder of rates know what was spent; learn which runs make calls

Nodes trusted a dead holder again after 2 s and left the live one for it; each change cost a lease and a second in which every part counted as used up. A node that does not answer now stays out until it answers; nodes that restarted rank behind the others for the role; a node tells its next holder what it spent, so that its part goes on where it was. While no holder stands for a node it answers 503, not 429.

--- a/benchmarks/call_pressure.py
+++ b/benchmarks/call_pressure.py
@@ -124,8 +124,12 @@
         outcome.sent += counted
         target = self._pick(self._fronts[kind])
 
+        def note_running() -> None:
+            running = target.intake.running_of(kind)
+            target.pressure.note_running(kind, running, self.time.now)
+
         def begin(slot: Slot) -> None:
-            target.pressure.note_start(kind, target.intake.running_of(kind))
+            note_running()
             self.time.call_in(self._work(FRONT_WORK_S), lambda: call_chains(slot))
 
         def call_chains(slot: Slot) -> None:
@@ -140,8 +144,8 @@
                 self._call_deep(target, kind, CHAIN_CALLS, end_chain)
 
         def finish(slot: Slot, good: bool) -> None:
-            target.pressure.note_end(kind)
             target.intake.release(slot, self.time.now, ran_to_end=True)
+            note_running()
             self._adapt(target)
             in_time = self.time.now - started <= OBJECTIVE_S
             outcome.good += counted and good and in_time
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
@@ -6,11 +6,13 @@
 
 from ._allowances import (
     LEASE_S,
-    AllowanceBorrower,
     AllowanceHolder,
+    Granted,
+    Lending,
     TokenNeed,
     Tolerance,
 )
+from ._callers import CallingKinds
 from ._config import (
     AccountTerms,
     ConfigIndex,
@@ -25,12 +27,13 @@
 from ._directory import Directory, order_of
 from ._freshness import Freshness
 from ._intake import Intake
-from ._pressure import CallPressure, CallsPerRun, rate_wait
-from ._rendezvous import rank_for_key
+from ._pressure import CallPressure, rate_wait
+from ._rendezvous import rank_for_key, rank_steady_nodes
 from ._repeats import Level, RepeatBudget
 from ._splits import SplitCursor
 from ._target_state import Announcement, TargetPhase, TargetRecord
 from ._waiting import Kind, Slot, SlotState
+from ._wallets import AllowanceBorrower
 
 __all__ = [
     "LEASE_S",
@@ -39,14 +42,16 @@
     "AllowanceHolder",
     "Announcement",
     "CallPressure",
-    "CallsPerRun",
+    "CallingKinds",
     "ConfigIndex",
     "Destination",
     "Directory",
     "FleetConfig",
     "Freshness",
+    "Granted",
     "Intake",
     "Kind",
+    "Lending",
     "Level",
     "RepeatBudget",
     "RequestLimits",
@@ -63,5 +68,6 @@
     "encode_config",
     "order_of",
     "rank_for_key",
+    "rank_steady_nodes",
     "rate_wait",
 ]
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_allowances.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_allowances.py
@@ -7,26 +7,23 @@
 """
 
 import math
-from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
 from endivebeam_model import AccountId, NodeId
 
 from ._config import AccountTerms
+from ._past import SpentTokens
 
-# A node asks for what it needs during about this time; the rest of its need is
-# asked for when a request finds no token.
-TOKEN_HORIZON_S = 0.4
-DEMAND_WEIGHT = 0.3
-# Below this need a node asks for nothing until a request comes.
-MIN_WANTED = 0.05
+LEASE_S = 1.2
+# The rest of the tolerance covers what is known late or only by assumption.
+USED_TOLERANCE = 0.6
 # Fractions of tokens are summed as floats; differences below this are equal.
 TOKEN_EPSILON = 1e-6
-LEASE_S = 1.5
-# The rest of the tolerance covers tokens that nodes hold while a holder changes.
-USED_TOLERANCE = 0.6
+
+Past = Mapping[AccountId, list[tuple[float, float]]]
+"""Ages in seconds and numbers of the tokens that a node spent, for each account."""
 
 
 class Tolerance(msgspec.Struct, frozen=True, kw_only=True):
@@ -51,11 +48,32 @@
     returned: float = 0.0
 
 
+class Lending(msgspec.Struct, frozen=True, kw_only=True):
+    """One exchange of a node with the holder of its parts.
+
+    A node that comes to a holder says what it spent lately: ``past`` covers the last
+    ``memory_s`` seconds, for which the node has been running.
+    """
+
+    node_id: NodeId
+    fleet_size: int
+    needs: Mapping[AccountId, TokenNeed]
+    memory_s: float = 0.0
+    past: Past | None = None
+
+
+class Granted(msgspec.Struct, frozen=True):
+    """Tokens for each account; ``wants_past`` asks what the node spent lately."""
+
+    tokens: dict[AccountId, float]
+    wants_past: bool
+
+
 class _Pool:
     """Tokens of one account at its holder.
 
-    ``spent`` has the tokens that nodes spent in the last window, ``held`` those that
-    they may still spend, and ``level`` those that may be granted at once.
+    ``spent`` has what each node spent in the last window, ``held`` what it may still
+    spend, and ``level`` what may be granted at once.
     """
 
     __slots__ = ("at", "held", "level", "rate_per_s", "spent")
@@ -65,7 +83,7 @@
         self.rate_per_s = rate_per_s
         self.at = now
         self.held: dict[NodeId, float] = {}
-        self.spent: deque[tuple[float, float]] = deque()
+        self.spent: dict[NodeId, SpentTokens] = {}
 
     def note_need(self, node_id: NodeId, need: TokenNeed, now: float) -> None:
         """Take a node's word about its tokens; what it does not hold it has spent."""
@@ -74,18 +92,12 @@
         held = min(known - returned, max(0.0, need.held))
         self.held[node_id] = held
         self.level += returned
-        self.note_spent(known - returned - held, now)
-
-    def note_spent(self, tokens: float, now: float) -> None:
-        """Count tokens as spent."""
-        if tokens > TOKEN_EPSILON:
-            self.spent.append((now, tokens))
+        self._note_spent(node_id, known - returned - held, now)
 
     def end_loan(self, node_id: NodeId, left: float, now: float) -> None:
-        """Take a node and its share of the tokens and of the past off the account."""
-        self.note_spent(self.held.pop(node_id, 0.0), now)
+        """Take a node's tokens off; they count as spent should it come back."""
+        self._note_spent(node_id, self.held.pop(node_id, 0.0), now)
         self.level *= left
-        self.spent = deque((at, tokens * left) for at, tokens in self.spent)
 
     def adopt_rate(self, rate_per_s: float) -> None:
         """Count the past in proportion when the account's rate changes.
@@ -96,20 +108,27 @@
         if rate_per_s != self.rate_per_s:
             ratio = rate_per_s / self.rate_per_s
             self.level *= ratio
-            self.spent = deque((at, tokens * ratio) for at, tokens in self.spent)
+            for spent in self.spent.values():
+                spent.scale(ratio)
             self.rate_per_s = rate_per_s
 
-    def count_used(self, since: float) -> float:
-        """Return the tokens that are held or were spent after a time."""
-        while self.spent and self.spent[0][0] < since:
-            self.spent.popleft()
-        return sum(tokens for _, tokens in self.spent) + sum(self.held.values())
+    def count_used(self, lenders: Iterable[NodeId], since: float) -> float:
+        """Return what the lenders hold or spent after a time."""
+        known = (self.spent[n].total(since) for n in lenders if n in self.spent)
+        return sum(known) + sum(self.held.values())
+
+    def _note_spent(self, node_id: NodeId, tokens: float, now: float) -> None:
+        if tokens > TOKEN_EPSILON:
+            self.spent.setdefault(node_id, SpentTokens()).add(now, tokens)
 
 
 class _Loan(msgspec.Struct):
-    """A node's parts: since when this holder has them, and until when."""
+    """A node's parts: until when this holder has them.
+
+    What the node spent is known from ``known_since`` on.
+    """
 
-    since: float
+    known_since: float
     until: float
 
 
@@ -117,10 +136,9 @@
     """Hands out the tokens of the parts that nodes lent to this one.
 
     An account may have its rate times the window plus its burst in any window, and
-    its burst at once. Another holder may have granted a whole window from a part
-    until it came here, so a part counts as used up until the window no longer reaches
-    back to then. A part that leaves takes its share of the tokens and of the past
-    along. So the bound holds for all holders together, however often parts move.
+    its burst at once. A node that comes from another holder says what it spent, so
+    that its part goes on where it was. For a time that a node does not remember, its
+    part counts as used up until the window no longer reaches back to it.
     """
 
     def __init__(self, *, tolerance: Tolerance) -> None:
@@ -136,28 +154,25 @@
         return len(self._loans)
 
     def exchange(
-        self,
-        *,
-        node_id: NodeId,
-        fleet_size: int,
-        needs: Mapping[AccountId, TokenNeed],
-        terms: Mapping[AccountId, AccountTerms],
-        now: float,
-    ) -> dict[AccountId, float]:
+        self, lending: Lending, *, terms: Mapping[AccountId, AccountTerms], now: float
+    ) -> Granted:
         """Renew a node's loan and return the tokens granted to it."""
         self._expire(now)
-        loan = self._loans.get(node_id)
+        loan = self._loans.get(lending.node_id)
+        is_new = loan is None
         if loan is None:
-            loan = self._loans[node_id] = _Loan(since=now, until=now)
+            loan = self._loans[lending.node_id] = _Loan(known_since=now, until=now)
         loan.until = now + LEASE_S
-        granted = {}
-        for account, need in needs.items():
+        if lending.past is not None:
+            loan.known_since = min(loan.known_since, now - lending.memory_s)
+            self._take_past(lending.node_id, lending.past, terms, now)
+        tokens = {}
+        for account, need in lending.needs.items():
             limit = terms.get(account)
             if limit is not None and limit.rate_per_s > 0:
-                granted[account] = self._grant(
-                    node_id, limit, need, max(1, fleet_size), now
-                )
-        return granted
+                size = max(1, lending.fleet_size)
+                tokens[account] = self._grant(lending.node_id, limit, need, size, now)
+        return Granted(tokens, is_new and lending.past is None)
 
     def release(self, node_id: NodeId, now: float) -> None:
         """End a node's loan."""
@@ -167,6 +182,28 @@
         for pool in self._pools.values():
             pool.end_loan(node_id, left, now)
 
+    def _take_past(
+        self,
+        node_id: NodeId,
+        past: Past,
+        terms: Mapping[AccountId, AccountTerms],
+        now: float,
+    ) -> None:
+        for account, entries in past.items():
+            limit = terms.get(account)
+            if limit is not None and limit.rate_per_s > 0:
+                times = sorted((now - age_s, tokens) for age_s, tokens in entries)
+                self._find_pool(limit, now).spent[node_id] = SpentTokens(times)
+
+    def _find_pool(self, limit: AccountTerms, now: float) -> _Pool:
+        pool = self._pools.get(limit.account)
+        if pool is None:
+            level = limit.burst * self._over + self._slack
+            pool = _Pool(level=level, rate_per_s=limit.rate_per_s, now=now)
+            self._pools[limit.account] = pool
+        pool.adopt_rate(limit.rate_per_s)
+        return pool
+
     def _grant(
         self,
         node_id: NodeId,
@@ -178,18 +215,15 @@
         part = min(1.0, len(self._loans) / fleet_size)
         burst = limit.burst * self._over + self._slack
         window = limit.rate_per_s * self._over * self._window_s + burst
-        pool = self._pools.get(limit.account)
-        if pool is None:
-            pool = _Pool(level=burst, rate_per_s=limit.rate_per_s, now=now)
-            self._pools[limit.account] = pool
-        pool.adopt_rate(limit.rate_per_s)
+        pool = self._find_pool(limit, now)
         pool.note_need(node_id, need, now)
         added = max(0.0, now - pool.at) * window / self._window_s * part
         depth = max(0.0, burst * part - sum(pool.held.values()))
         pool.level = min(depth, pool.level + added)
         pool.at = now
         unknown = self._assume_used(window, burst, fleet_size, now)
-        left = window * part - unknown - pool.count_used(now - self._window_s)
+        used = pool.count_used(self._loans, now - self._window_s)
+        left = window * part - unknown - used
         tokens = max(0.0, min(pool.level, left, need.wanted - need.held))
         if not math.isfinite(tokens):
             return 0.0
@@ -200,7 +234,7 @@
     def _assume_used(
         self, window: float, burst: float, fleet_size: int, now: float
     ) -> float:
-        """Return what earlier holders of the lent parts may have let through.
+        """Return what may have been spent from the lent parts and is not known.
 
         A holder lets through at most a burst at once and then a window's tokens in
         each window.
@@ -208,7 +242,7 @@
         per_s = window / self._window_s
         used = 0.0
         for loan in self._loans.values():
-            reach_s = self._window_s - (now - loan.since)
+            reach_s = self._window_s - (now - loan.known_since)
             if reach_s > 0:
                 used += min(window, burst + per_s * reach_s)
         return used / fleet_size
@@ -217,131 +251,3 @@
         gone = [n for n, loan in self._loans.items() if loan.until <= now]
         for node_id in gone:
             self.release(node_id, now)
-
-
-class _Wallet:
-    """Tokens of one account at the node that spends them."""
-
-    __slots__ = (
-        "asked",
-        "demand_per_s",
-        "dry",
-        "reported",
-        "requests",
-        "short",
-        "tokens",
-    )
-
-    def __init__(self) -> None:
-        self.tokens = 0.0
-        # What the holder believes this node to hold.
-        self.reported = 0.0
-        self.asked = 0.0
-        self.dry = False
-        self.short = 0
-        self.requests = 0
-        self.demand_per_s = 0.0
-
-
-class AllowanceBorrower:
-    """Spends tokens and decides to which holder this node lends its parts."""
-
-    def __init__(self) -> None:
-        self.holder: NodeId | None = None
-        self._lent_until = -math.inf
-        self._wallets: dict[AccountId, _Wallet] = {}
-        self._measured_at = 0.0
-
-    def spend(self, terms: AccountTerms) -> bool:
-        """Take one token of an account; return whether there was one."""
-        wallet = self._wallets.get(terms.account)
-        if wallet is None:
-            wallet = self._wallets[terms.account] = _Wallet()
-        wallet.requests += 1
-        if self._take(wallet):
-            return True
-        wallet.short += 1
-        return False
-
-    def demand_per_s(self, terms: AccountTerms) -> float:
-        """Return the recent requests of an account at this node, per second."""
-        wallet = self._wallets.get(terms.account)
-        return wallet.demand_per_s if wallet is not None else 0.0
-
-    def is_dry(self, terms: AccountTerms) -> bool:
-        """Return whether the holder gave less than was asked at the last exchange."""
-        wallet = self._wallets.get(terms.account)
-        return wallet is not None and wallet.dry
-
-    def spend_again(self, terms: AccountTerms) -> bool:
-        """Take a token for a request that found none before."""
-        wallet = self._wallets.get(terms.account)
-        return wallet is not None and self._take(wallet)
-
-    def refund(self, terms: AccountTerms) -> None:
-        """Return the token of a request that did not reach a target."""
-        wallet = self._wallets.get(terms.account)
-        if wallet is not None:
-            wallet.tokens += 1.0
-
-    def choose_holder(self, preferred: NodeId | None, now: float) -> bool:
-        """Take another holder once the lease has lapsed; return whether it did."""
-        if preferred == self.holder or now < self._lent_until:
-            return False
-        self.holder = preferred
-        return True
-
-    def withdraw(self) -> None:
-        """Give up all tokens, because the holder has ended the loan."""
-        self._lent_until = -math.inf
-        for wallet in self._wallets.values():
-            wallet.tokens = wallet.reported = 0.0
-
-    def lend(self, now: float) -> dict[AccountId, TokenNeed]:
-        """Start an exchange with the holder; return what this node needs."""
-        if now >= self._lent_until:
-            # The holder no longer counts the tokens of a lapsed loan.
-            self.withdraw()
-        self._lent_until = now + LEASE_S
-        self._measure(now)
-        needs = {}
-        for account, wallet in self._wallets.items():
-            wanted = wallet.demand_per_s * TOKEN_HORIZON_S + wallet.short
-            wallet.short = 0
-            # Tokens beyond the need go back, so that other nodes can have them.
-            returned = max(0.0, wallet.tokens - wanted)
-            wallet.tokens -= returned
-            wallet.asked = wanted - wallet.tokens
-            if wanted > MIN_WANTED or wallet.reported > TOKEN_EPSILON:
-                needs[account] = TokenNeed(wallet.tokens, wanted, returned)
-                wallet.reported = wallet.tokens
-            else:
-                wallet.dry = False
-        return needs
-
-    def receive(self, granted: Mapping[AccountId, float]) -> None:
-        """Add the tokens of an answer."""
-        for account, tokens in granted.items():
-            wallet = self._wallets.get(account)
-            if wallet is not None:
-                wallet.tokens += tokens
-                wallet.reported += tokens
-                wallet.dry = tokens < wallet.asked - TOKEN_EPSILON
-
-    def _measure(self, now: float) -> None:
-        elapsed_s = now - self._measured_at
-        if elapsed_s < 0.1:
-            return
-        self._measured_at = now
-        weight = min(1.0, DEMAND_WEIGHT * elapsed_s / 0.25)
-        for wallet in self._wallets.values():
-            rate = wallet.requests / elapsed_s
-            wallet.requests = 0
-            wallet.demand_per_s += weight * (rate - wallet.demand_per_s)
-
-    @staticmethod
-    def _take(wallet: _Wallet) -> bool:
-        if wallet.tokens < 1.0 - TOKEN_EPSILON:
-            return False
-        wallet.tokens -= 1.0
-        return True
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
@@ -10,14 +10,14 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Mapping
 
+from ._callers import CallingKinds
 from ._waiting import Kind
 
 # Parts of its objective that a call waits at a target: below the first there is no
 # pressure, from the second on there is all of it.
-NO_PRESSURE_WAIT = 0.05
-FULL_PRESSURE_WAIT = 0.35
+NO_PRESSURE_WAIT = 0.15
+FULL_PRESSURE_WAIT = 0.55
 # Least time over which answers are gathered before a limit changes.
 INTERVAL_S = 0.25
 # Pressure below this lets a limit grow.
@@ -29,15 +29,12 @@
 FLOOR_FRACTION = 0.08
 # Pressure below this is not felt by requests that are shed last.
 TOLERANCE_OF_LAST = 0.5
-# Nested calls for each run, below which the runs are taken to make none.
-MIN_CALLS_PER_RUN = 0.2
-LEARNING_RATE = 0.2
 
 
 def rate_wait(wait_s: float, objective_s: float) -> float:
     """Return the pressure of a wait at a target, from 0 to 1.
 
-    >>> rate_wait(0.0, 1.0), rate_wait(0.2, 1.0), rate_wait(1.0, 1.0)
+    >>> rate_wait(0.1, 1.0), rate_wait(0.35, 1.0), rate_wait(1.0, 1.0)
     (0.0, 0.5, 1.0)
     """
     if objective_s <= 0:
@@ -47,29 +44,33 @@
     return round(min(1.0, max(0.0, (part - NO_PRESSURE_WAIT) / span)), 3)
 
 
-class CallsPerRun:
-    """Estimates how many calls a run of each kind leads to.
+class _Activity:
+    """How many calls of a kind run, over the present interval."""
 
-    A target's calls carry no word about the run that makes them, so the numbers are
-    learned from the totals of each interval.
-    """
+    __slots__ = ("_at", "_most", "_run_s", "_running")
 
     def __init__(self) -> None:
-        self._estimates: dict[Kind, float] = defaultdict(float)
+        self._running = 0
+        self._most = 0
+        self._run_s = 0.0
+        self._at = 0.0
+
+    def change(self, running: int, now: float) -> None:
+        self._run_s += self._running * (now - self._at)
+        self._at = now
+        self._running = running
+        self._most = max(self._most, running)
 
-    def makes_calls(self, kind: Kind) -> bool:
-        """Return whether runs of a kind lead to calls."""
-        return self._estimates.get(kind, 0.0) > MIN_CALLS_PER_RUN
+    def take_run_s(self, now: float) -> float:
+        """Return the time for which calls ran, summed over them, and start anew."""
+        self.change(self._running, now)
+        run_s, self._run_s = self._run_s, 0.0
+        return run_s
 
-    def learn(self, *, calls: int, runs: Mapping[Kind, int]) -> None:
-        """Take the calls and the ended runs of one interval."""
-        size = sum(count**2 for count in runs.values())
-        if not size:
-            return
-        expected = sum(self._estimates[k] * count for k, count in runs.items())
-        step = LEARNING_RATE * (calls - expected) / size
-        for kind, count in runs.items():
-            self._estimates[kind] = max(0.0, self._estimates[kind] + step * count)
+    def take_most(self) -> int:
+        """Return the most that ran at once, and start anew."""
+        most, self._most = self._most, self._running
+        return most
 
 
 class CallPressure:
@@ -79,13 +80,12 @@
         self.pressure = 0.0
         self._floor = MIN_LIMIT
         self._limits: dict[Kind, float] = {}
-        self._calls_per_run = CallsPerRun()
+        self._callers = CallingKinds()
         self._since = now
         self._calls = 0
         self._answers = 0
         self._sum = 0.0
-        self._runs: dict[Kind, int] = defaultdict(int)
-        self._most_running: dict[Kind, int] = defaultdict(int)
+        self._activity: dict[Kind, _Activity] = defaultdict(_Activity)
 
     def limit(self, kind: Kind) -> float:
         """Return how many requests of a kind may run; infinite without pressure."""
@@ -104,17 +104,13 @@
         self._answers += 1
         self._sum += pressure
 
-    def note_start(self, kind: Kind, running: int) -> None:
-        """Note how many requests of a kind run, after one more has started."""
-        self._most_running[kind] = max(self._most_running[kind], running)
-
-    def note_end(self, kind: Kind) -> None:
-        """Count a run that ended."""
-        self._runs[kind] += 1
+    def note_running(self, kind: Kind, running: int, now: float) -> None:
+        """Note how many calls of a kind run from now on."""
+        self._activity[kind].change(running, now)
 
     def passes_on(self, kind: Kind) -> float:
         """Return the pressure that callers of such runs should feel."""
-        return self.pressure if self._calls_per_run.makes_calls(kind) else 0.0
+        return self.pressure if self._callers.makes_calls(kind) else 0.0
 
     def update(self, *, hold_s: float, now: float) -> bool:
         """Adapt the limits at the end of an interval; return whether one ended.
@@ -124,20 +120,18 @@
         """
         if now - self._since < max(INTERVAL_S, hold_s):
             return False
-        self._calls_per_run.learn(calls=self._calls, runs=self._runs)
+        run_s = {kind: a.take_run_s(now) for kind, a in self._activity.items()}
+        self._callers.learn(calls=self._calls, run_s=run_s)
         self.pressure = self._sum / self._answers if self._answers else 0.0
-        for kind in list(self._most_running):
+        for kind, activity in self._activity.items():
             if not kind.internal:
-                self._adapt(kind)
+                self._adapt(kind, activity.take_most())
         self._since = now
         self._calls = self._answers = 0
         self._sum = 0.0
-        self._runs.clear()
-        self._most_running.clear()
         return True
 
-    def _adapt(self, kind: Kind) -> None:
-        most = self._most_running[kind]
+    def _adapt(self, kind: Kind, most: int) -> None:
         limit = self._limits.get(kind, math.inf)
         felt = self._feel(kind)
         if felt > CALM:
@@ -150,7 +144,7 @@
             self._limits[kind] = limit + max(1.0, limit * GROWTH)
 
     def _feel(self, kind: Kind) -> float:
-        if not self._calls_per_run.makes_calls(kind):
+        if not self._callers.makes_calls(kind):
             return 0.0
         tolerance = TOLERANCE_OF_LAST * (1.0 - kind.shed_order)
         return max(0.0, self.pressure - tolerance) / (1.0 - tolerance)
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_rendezvous.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_rendezvous.py
@@ -3,7 +3,7 @@
 import zlib
 from collections.abc import Iterable
 
-from endivebeam_model import NodeId
+from endivebeam_model import Member, NodeId
 
 
 def rank_for_key(key: str, node_ids: Iterable[NodeId]) -> list[NodeId]:
@@ -15,3 +15,13 @@
     ['b']
     """
     return sorted(node_ids, key=lambda n: (zlib.crc32(f"{key}/{n}".encode()), n))
+
+
+def rank_steady_nodes(key: str, members: Iterable[Member]) -> list[NodeId]:
+    """Return nodes in the order of their preference for a role that keeps state.
+
+    Nodes that restarted come after those that did not, so that a node which returns
+    does not take the role from the one that took it over.
+    """
+    incarnations = {member.node_id: member.incarnation for member in members}
+    return sorted(rank_for_key(key, incarnations), key=incarnations.__getitem__)
--- a/packages/endivebeam-fleet/tests/test_allowances.py
+++ b/packages/endivebeam-fleet/tests/test_allowances.py
@@ -10,10 +10,21 @@
     AccountTerms,
     AllowanceBorrower,
     AllowanceHolder,
+    Lending,
     TokenNeed,
     Tolerance,
+    rank_steady_nodes,
+)
+from endivebeam_model import (
+    AccountId,
+    Address,
+    DomainName,
+    Member,
+    MemberState,
+    NodeId,
+    RegionName,
+    ServiceName,
 )
-from endivebeam_model import AccountId, NodeId
 
 ACCOUNT = AccountId("fit")
 RATE, BURST, WINDOW_S = 20.0, 20.0, 5.0
@@ -27,10 +38,13 @@
 
     def __init__(self) -> None:
         self.now = 100.0
-        self.borrowers = {n: AllowanceBorrower() for n in NODES}
+        self.borrowers = {n: self._make_borrower(n) for n in NODES}
         self.holders = {n: AllowanceHolder(tolerance=TOLERANCE) for n in NODES}
         self.spent: list[float] = []
 
+    def _make_borrower(self, node: NodeId) -> AllowanceBorrower:
+        return AllowanceBorrower(node_id=node, window_s=WINDOW_S, started_at=self.now)
+
     def exchange(
         self,
         node: NodeId,
@@ -43,13 +57,9 @@
         borrower.choose_holder(preferred, self.now)
         if borrower.holder is None:
             return
-        needs = borrower.lend(self.now)
+        lending = borrower.lend(fleet_size=len(NODES), now=self.now)
         granted = self.holders[borrower.holder].exchange(
-            node_id=node,
-            fleet_size=len(NODES),
-            needs=needs,
-            terms={ACCOUNT: terms},
-            now=self.now,
+            lending, terms={ACCOUNT: terms}, now=self.now
         )
         if not lost:
             borrower.receive(granted)
@@ -63,13 +73,13 @@
 
     def restart(self, node: NodeId) -> None:
         """Lose all that a node knows, as a kill does."""
-        self.borrowers[node] = AllowanceBorrower()
+        self.borrowers[node] = self._make_borrower(node)
         self.holders[node] = AllowanceHolder(tolerance=TOLERANCE)
 
     def spend(self, node: NodeId, count: int) -> int:
         served = 0
         for _ in range(count):
-            if self.borrowers[node].spend(TERMS):
+            if self.borrowers[node].spend(TERMS, self.now):
                 self.spent.append(self.now)
                 served += 1
         return served
@@ -142,7 +152,7 @@
             asked += 1
             if not fleet.spend(NODES[1], 1):
                 fleet.exchange(NODES[1], NODES[0])
-                served += fleet.borrowers[NODES[1]].spend_again(TERMS)
+                served += fleet.borrowers[NODES[1]].spend_again(TERMS, fleet.now)
                 continue
             served += 1
         assert served >= 0.98 * asked
@@ -160,7 +170,7 @@
         assert not fleet.borrowers[node].is_dry(TERMS)
         fleet.spend(node, 1)
         fleet.exchange(node, NODES[0])
-        assert fleet.borrowers[node].spend_again(TERMS)
+        assert fleet.borrowers[node].spend_again(TERMS, fleet.now)
 
     def test_account_above_its_rate_looks_like_an_empty_holder(self):
         fleet = Fleet()
@@ -189,14 +199,15 @@
         total = 0.0
         now = 0.0
         while now < WINDOW_S:
-            granted = holder.exchange(
+            lending = Lending(
                 node_id=NODES[0],
                 fleet_size=4,
                 needs={ACCOUNT: TokenNeed(held=0.0, wanted=100.0)},
-                terms={ACCOUNT: TERMS},
-                now=now,
+                memory_s=WINDOW_S,
+                past={},
             )
-            total += granted[ACCOUNT]
+            granted = holder.exchange(lending, terms={ACCOUNT: TERMS}, now=now)
+            total += granted.tokens[ACCOUNT]
             now += 0.1
         assert total <= (RATE * WINDOW_S + BURST) / 4 + 1
 
@@ -259,3 +270,59 @@
         for start in fleet.spent:
             end = start + WINDOW_S
             assert sum(1 for t in fleet.spent if start <= t <= end) <= most
+
+    def test_next_holder_goes_on_where_the_lost_one_was(self):
+        # Each new holder began as if every part were used up, so that all accounts
+        # were refused for a second whenever a holder was lost.
+        fleet = Fleet()
+        fleet.warm_up()
+        for _ in range(int(WINDOW_S / 0.1)):
+            fleet.now += 0.1
+            fleet.spend(NODES[1], 1)
+            for node in NODES:
+                fleet.exchange(node, NODES[0])
+        fleet.now += LEASE_S
+        served = 0
+        for _ in range(10):
+            fleet.now += 0.1
+            for node in NODES[1:]:
+                fleet.exchange(node, NODES[2])
+            served += fleet.spend(NODES[1], 1)
+        assert served >= 8
+
+    def test_tokens_of_a_lapsed_loan_are_not_spent(self):
+        # The holder counted them as spent at the end of the lease, and a node that
+        # had been paused spent them in a later window.
+        fleet = Fleet()
+        fleet.warm_up()
+        fleet.spend(NODES[1], 5)
+        fleet.exchange(NODES[1], NODES[0])
+        fleet.now += LEASE_S
+        assert fleet.spend(NODES[1], 1) == 0
+
+
+class TestChoiceOfHolder:
+    def test_node_that_returns_does_not_take_the_role_back(self):
+        # Every change of the holder costs its accounts a lease; a node that restarted
+        # took the role back at once.
+        first, *others = rank_steady_nodes("rates", make_members())
+        assert len(others) == 3
+        restarted = make_members(restarted=first)
+        assert rank_steady_nodes("rates", restarted) == [*others, first]
+
+
+def make_members(restarted: NodeId | None = None) -> list[Member]:
+    return [
+        Member(
+            node_id=node,
+            incarnation=2 if node == restarted else 1,
+            sequence=0,
+            address=Address("127.0.0.1", 1),
+            region=RegionName("r"),
+            domain=DomainName("d"),
+            service=ServiceName("stock"),
+            slots=1,
+            state=MemberState.SERVING,
+        )
+        for node in NODES
+    ]
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
@@ -1,6 +1,6 @@
 """Lending of this node's rates to a holder, and spending of granted tokens."""
 
-from collections.abc import Callable
+from enum import Enum
 
 import anyio
 from loguru import logger
@@ -9,12 +9,14 @@
     AccountTerms,
     AllowanceBorrower,
     AllowanceHolder,
+    Granted,
+    Lending,
     TokenNeed,
     Tolerance,
-    rank_for_key,
+    rank_steady_nodes,
 )
-from endivebeam_model import AccountId, Member, NodeId
-from endivebeam_wire import AllowanceTokens, LendAllowances
+from endivebeam_model import Member, NodeId
+from endivebeam_wire import AllowanceTokens, Heartbeat, LendAllowances
 
 from ._clock import read_clock
 from ._decisions import TokenDetail
@@ -27,10 +29,20 @@
 EXCHANGE_TIMEOUT_S = 0.5
 # How long a request waits for tokens that were asked for on its arrival.
 TOKEN_WAIT_S = 0.15
-SUSPECT_S = 2.0
+# Nodes that did not answer are asked for a sign of life this often.
+PROBE_PERIOD_S = 1.0
+MAX_PROBES = 3
 HOLDER_KEY = "allowances"
 
 
+class Spending(Enum):
+    """Whether a request may go on, as far as its account's allowance is concerned."""
+
+    ALLOWED = "allowed"
+    ABOVE_RATE = "above_rate"
+    UNKNOWN = "unknown"
+
+
 class Allowances:
     """Tokens of client accounts at this node, and the holder's side."""
 
@@ -39,26 +51,37 @@
     ) -> None:
         self._knowledge = knowledge
         self._links = links
-        self._borrower = AllowanceBorrower()
+        self._borrower = AllowanceBorrower(
+            node_id=knowledge.own.node_id,
+            window_s=tolerance.window_s,
+            started_at=read_clock(),
+        )
         self._holder = AllowanceHolder(tolerance=tolerance)
         self._wanted = anyio.Event()
         self._exchanged = anyio.Event()
-        self._suspects: dict[NodeId, float] = {}
+        self._suspects: set[NodeId] = set()
         self._exchanged_at = read_clock()
         self._lent_parts = 0.0
 
-    async def spend(self, terms: AccountTerms) -> bool:
+    @property
+    def holder(self) -> NodeId | None:
+        """Node to which this one lends its rates, or None."""
+        return self._borrower.holder
+
+    async def spend(self, terms: AccountTerms) -> Spending:
         """Take a token for a request; wait shortly for an exchange if needed."""
-        if terms.rate_per_s <= 0 or self._borrower.spend(terms):
-            return True
-        if self._borrower.is_dry(terms):
-            # The next periodic exchange asks for what was missing.
-            return False
-        exchanged = self._exchanged
-        self._wanted.set()
-        with anyio.move_on_after(TOKEN_WAIT_S):
-            await exchanged.wait()
-        return self._borrower.spend_again(terms)
+        if terms.rate_per_s <= 0 or self._borrower.spend(terms, read_clock()):
+            return Spending.ALLOWED
+        # The next periodic exchange asks for what was missing.
+        if not self._borrower.is_dry(terms):
+            exchanged = self._exchanged
+            self._wanted.set()
+            with anyio.move_on_after(TOKEN_WAIT_S):
+                await exchanged.wait()
+            if self._borrower.spend_again(terms, read_clock()):
+                return Spending.ALLOWED
+        lent = self._borrower.is_lent(read_clock())
+        return Spending.ABOVE_RATE if lent else Spending.UNKNOWN
 
     def describe(self, terms: AccountTerms, call_id: str) -> TokenDetail:
         """Return what decided about an account's last request, for the log."""
@@ -80,43 +103,68 @@
     def hold(self, node_id: NodeId, ask: LendAllowances) -> AllowanceTokens:
         """Answer a node that lends its rates to this one."""
         index = self._knowledge.index
+        now = read_clock()
         if ask.withdraws:
-            self._holder.release(node_id, read_clock())
+            self._holder.release(node_id, now)
             return AllowanceTokens(request_id=ask.request_id, holds=False, granted={})
-        now = read_clock()
         size = max(1, ask.fleet_size, len(self._knowledge.directory))
         granted = self._holder.exchange(
-            node_id=node_id,
-            fleet_size=size,
-            needs={a: TokenNeed(*need) for a, need in ask.needs.items()},
+            Lending(
+                node_id=node_id,
+                fleet_size=size,
+                needs={a: TokenNeed(*need) for a, need in ask.needs.items()},
+                memory_s=ask.memory_s,
+                past=ask.past,
+            ),
             terms=index.accounts if index else {},
             now=now,
         )
         return AllowanceTokens(
             request_id=ask.request_id,
             holds=index is not None,
-            granted=granted,
+            granted=granted.tokens,
             lent_parts=round(self._holder.lenders(now) / size, 2),
+            wants_past=granted.wants_past,
         )
 
     def suspect(self, node_id: NodeId) -> None:
-        """Prefer other holders than a node that could not be reached."""
-        self._suspects[node_id] = read_clock() + SUSPECT_S
+        """Prefer other holders than a node until it answers again."""
+        self._suspects.add(node_id)
 
     async def run(self) -> None:
         """Exchange with the holder until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._probe_suspects)
+            while True:
+                await self._exchange()
+                self._exchanged.set()
+                self._exchanged = anyio.Event()
+                await anyio.sleep(EXCHANGE_GAP_S)
+                with anyio.move_on_after(EXCHANGE_PERIOD_S - EXCHANGE_GAP_S):
+                    await self._wanted.wait()
+                self._wanted = anyio.Event()
+
+    async def _probe_suspects(self) -> None:
         while True:
-            await self._exchange()
-            self._exchanged.set()
-            self._exchanged = anyio.Event()
-            await anyio.sleep(EXCHANGE_GAP_S)
-            with anyio.move_on_after(EXCHANGE_PERIOD_S - EXCHANGE_GAP_S):
-                await self._wanted.wait()
-            self._wanted = anyio.Event()
+            await anyio.sleep(PROBE_PERIOD_S)
+            known = [self._find(node_id) for node_id in self._suspects]
+            self._suspects = {member.node_id for member in known if member}
+            for member in [member for member in known if member][:MAX_PROBES]:
+                if await self._answers(member):
+                    self._suspects.discard(member.node_id)
+
+    async def _answers(self, member: Member) -> bool:
+        try:
+            with anyio.fail_after(EXCHANGE_TIMEOUT_S):
+                await self._links.ask(
+                    member, lambda number: Heartbeat(request_id=number)
+                )
+        except (LinkNotOpenError, LinkLostError, TimeoutError):
+            return False
+        return True
 
     async def _exchange(self) -> None:
-        now = read_clock()
-        preferred = self._prefer(now)
+        preferred = self._prefer()
         if preferred != self._borrower.holder:
             await self._withdraw()
         if self._borrower.choose_holder(preferred, read_clock()):
@@ -129,11 +177,14 @@
             or not self._knowledge.knows_members
         ):
             return
-        tokens = await self._lend(member, self._borrower.lend(now))
+        lending = self._borrower.lend(
+            fleet_size=len(self._knowledge.directory), now=read_clock()
+        )
+        tokens = await self._lend(member, lending)
         if tokens is not None and tokens.holds:
             self._exchanged_at = read_clock()
             self._lent_parts = tokens.lent_parts
-            self._borrower.receive(tokens.granted)
+            self._borrower.receive(Granted(tokens.granted, tokens.wants_past))
 
     async def _withdraw(self) -> None:
         # A holder that confirms the end of the loan stops counting this node's
@@ -148,41 +199,50 @@
         return self._knowledge.directory.find(node_id) if node_id else None
 
     async def _lend(
-        self, member: Member, needs: dict[AccountId, TokenNeed] | None
+        self, member: Member, lending: Lending | None
     ) -> AllowanceTokens | None:
-        size = len(self._knowledge.directory)
-        known = {a: (n.held, n.wanted, n.returned) for a, n in (needs or {}).items()}
+        """Exchange with a holder, or end the loan when there is no lending."""
 
         def make_request(request_id: int) -> LendAllowances:
+            if lending is None:
+                return LendAllowances(
+                    request_id=request_id, fleet_size=0, needs={}, withdraws=True
+                )
             return LendAllowances(
                 request_id=request_id,
-                fleet_size=size,
-                needs=known,
-                withdraws=needs is None,
+                fleet_size=lending.fleet_size,
+                needs={
+                    account: (need.held, need.wanted, need.returned)
+                    for account, need in lending.needs.items()
+                },
+                memory_s=lending.memory_s,
+                past=dict(lending.past) if lending.past is not None else None,
             )
 
         if member.node_id == self._knowledge.own.node_id:
             return self.hold(member.node_id, make_request(0))
-        return await self._ask(member, make_request)
-
-    async def _ask(
-        self, member: Member, make_request: Callable[[int], LendAllowances]
-    ) -> AllowanceTokens | None:
         try:
             with anyio.fail_after(EXCHANGE_TIMEOUT_S):
                 reply = await self._links.ask(member, make_request)
-        except (LinkNotOpenError, LinkLostError, TimeoutError) as error:
-            self.suspect(member.node_id)
-            logger.bind(peer=member.node_id, reason=str(error)).warning(
-                "limits: The holder of the rates did not answer."
-            )
+        except LinkNotOpenError as error:
+            if lending is not None:
+                self._borrower.note_not_sent()
+            self._note_silent(member.node_id, str(error))
+            return None
+        except (LinkLostError, TimeoutError) as error:
+            self._note_silent(member.node_id, str(error))
             return None
         assert isinstance(reply, AllowanceTokens)
         return reply
 
-    def _prefer(self, now: float) -> NodeId | None:
-        self._suspects = {n: t for n, t in self._suspects.items() if t > now}
-        live = [m.node_id for m in self._knowledge.directory.live()]
-        trusted = [n for n in live if n not in self._suspects]
-        ranked = rank_for_key(HOLDER_KEY, trusted)
+    def _note_silent(self, node_id: NodeId, reason: str) -> None:
+        self.suspect(node_id)
+        logger.bind(peer=node_id, reason=reason).warning(
+            "limits: The holder of the rates did not answer."
+        )
+
+    def _prefer(self) -> NodeId | None:
+        live = self._knowledge.directory.live()
+        trusted = [m for m in live if m.node_id not in self._suspects]
+        ranked = rank_steady_nodes(HOLDER_KEY, trusted)
         return ranked[0] if ranked else None
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -17,7 +17,7 @@
 from endivebeam_model import AccountId, Refusal, RefusalReason
 from endivebeam_wire import ForwardReply, Header
 
-from ._allowances import Allowances
+from ._allowances import Allowances, Spending
 from ._attempts import Call, Caller
 from ._clock import read_clock
 from ._decisions import Decision, DecisionLog, RefusalDetail
@@ -116,8 +116,12 @@
         terms = self._find_account(index, route, request)
         if isinstance(terms, Refusal):
             return terms
-        if terms is not None and not await self._allowances.spend(terms):
-            return self._refuse_rate(terms, call_id)
+        if terms is not None:
+            spending = await self._allowances.spend(terms)
+            if spending is Spending.ABOVE_RATE:
+                return self._refuse_rate(terms, call_id)
+            if spending is Spending.UNKNOWN:
+                return _not_ready("no node holds the account's rate at present")
         call = self._make_call(index, request, route, terms, call_id, arrived)
         outcome = await self._caller.run(call)
         if terms is not None and isinstance(outcome, Refusal):
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -165,6 +165,11 @@
         """Age of the evidence that no newer configuration exists."""
         return self._knowledge.freshness.age_s(read_clock())
 
+    @property
+    def rate_holder(self) -> NodeId | None:
+        """Node to which this one lends its rates, or None."""
+        return self._allowances.holder
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should send new requests to this node."""
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_settings.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_settings.py
@@ -41,7 +41,12 @@
 
 
 class SidecarSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """What one node learns at its start."""
+    """What one node learns at its start.
+
+    ``first_incarnation`` is 1 when the whole fleet starts for the first time, and
+    higher for a node that joins or restarts, which ranks behind the others for roles
+    that keep state.
+    """
 
     node_id: NodeId
     domain: DomainName
@@ -53,6 +58,7 @@
     announcements: Address
     readiness: Address
     metrics: Address
+    first_incarnation: int = 1
     headers: HeaderNames = HeaderNames()
     bounds: Bounds = Bounds()
     log_level: str = "INFO"
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_state.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_state.py
@@ -43,7 +43,7 @@
         self.freshness = Freshness()
         self.own = Member(
             node_id=settings.node_id,
-            incarnation=1,
+            incarnation=settings.first_incarnation,
             sequence=0,
             address=Address(settings.peers.host, settings.peers.port),
             region=settings.region,
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
@@ -204,22 +204,26 @@
 
     async def _run_admitted(self, call: ForwardCall, slot: Slot) -> ForwardReply:
         answered = False
-        self._pressure.note_start(slot.kind, self._intake.running_of(slot.kind))
+        self._note_running(slot.kind)
         try:
             reply = await self._send(call, slot)
             answered = reply.outcome is ForwardOutcome.ANSWERED
             pressure = self._rate_pressure(call, slot)
             return msgspec.structs.replace(reply, load=self._describe_load(pressure))
         finally:
-            self._pressure.note_end(slot.kind)
             self._release(slot, answered=answered)
 
     def _release(self, slot: Slot, *, answered: bool) -> None:
         now = read_clock()
         self._intake.release(slot, now, ran_to_end=answered)
+        self._note_running(slot.kind)
         self._adapt(now)
         self._wake(self._intake.next_changes(now))
 
+    def _note_running(self, kind: Kind) -> None:
+        running = self._intake.running_of(kind)
+        self._pressure.note_running(kind, running, read_clock())
+
     def _adapt(self, now: float) -> None:
         if self._pressure.update(hold_s=self._intake.longest_hold_s, now=now):
             self._wake(self._intake.next_changes(now))
--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -9,13 +9,16 @@
 from endivebeam_fleet import TargetPhase
 from endivebeam_http import Field, Request, Response
 from endivebeam_model import ConfigVersion
-from endivebeam_sidecar import Bounds
+from endivebeam_sidecar import Bounds, read_clock
 
 from ._fleet import (
+    ACCOUNT,
     KEY,
+    WAIT_S,
     FakeStore,
     FakeTarget,
     Fleet,
+    Node,
     make_config,
     run_fleet,
     start_node,
@@ -302,6 +305,40 @@
             assert (await node.call("/none/x")).status == 503
 
 
+class TestAllowances:
+    async def test_lost_holder_is_not_asked_again_before_it_answers(self):
+        # Nodes went back to a dead holder every two seconds, and left the live one
+        # for it: two fifths of a day's requests were refused by rate.
+        account = msgspec.structs.replace(ACCOUNT, rate_per_s=1000.0, burst=1000.0)
+        store = FakeStore()
+        store.config = msgspec.structs.replace(make_config(), accounts=(account,))
+        async with run_fleet(("stock",) * 3, store=store) as fleet:
+            await wait_until(
+                lambda: len({n.sidecar.rate_holder for n in fleet.nodes}) == 1
+            )
+            holder = fleet.nodes[0].sidecar.rate_holder
+            lost = next(n for n in fleet.nodes if n.sidecar.settings.node_id == holder)
+            lost.kill()
+            left = [n for n in fleet.nodes if n is not lost]
+            await wait_until(
+                lambda: all(n.sidecar.rate_holder not in (None, holder) for n in left)
+            )
+            changes = [n.sidecar.rate_holder for n in left]
+            # Longer than the time after which a silent node was trusted again.
+            until = read_clock() + 2.5
+            while read_clock() < until:
+                for node in left:
+                    await wait_until_served(node)
+                assert [n.sidecar.rate_holder for n in left] == changes
+
+
+async def wait_until_served(node: Node) -> None:
+    """Call until there is an answer; a fresh holder has no tokens at first."""
+    with anyio.fail_after(WAIT_S):
+        while (await node.call("/look/x")).status != 200:
+            await anyio.lowlevel.checkpoint()
+
+
 class TestStops:
     async def test_call_in_flight_is_answered_by_a_node_that_stops(self):
         async with run_fleet(("stock", "vans")) as fleet:
