--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_callers.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_callers.py
@@ -18,7 +18,7 @@
 MEMORY = 0.995
 # Run time, in seconds, without which an estimate stays near zero.
 CAUTION_S = 0.5
-SWEEPS = 16
+SWEEPS = 24
 
 
 class CallingKinds:
@@ -49,9 +49,12 @@
                 pair = (kind, other)
                 self._products[pair] *= MEMORY
                 self._products[pair] += run_s.get(kind, 0.0) * run_s.get(other, 0.0)
+        # All at once and damped, so that kinds that always run together share alike.
+        weight = 1.0 / max(1, len(self._rates))
         for _ in range(SWEEPS):
-            for kind in self._rates:
-                self._rates[kind] = self._solve(kind)
+            solved = {kind: self._solve(kind) for kind in self._rates}
+            for kind, rate in solved.items():
+                self._rates[kind] += weight * (rate - self._rates[kind])
 
     def _solve(self, kind: Kind) -> float:
         """Return the best estimate of one kind, given those of the others."""
