--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_allowances.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_allowances.py
@@ -17,8 +17,9 @@
 from ._past import SpentTokens
 
 LEASE_S = 1.2
-# The rest of the tolerance covers what is known late or only by assumption.
-USED_TOLERANCE = 0.6
+# The rest of the tolerance is for the time after a restart, when it is not known what
+# was spent before.
+USED_TOLERANCE = 0.5
 # Fractions of tokens are summed as floats; differences below this are equal.
 TOKEN_EPSILON = 1e-6
 
@@ -144,6 +145,8 @@
     def __init__(self, *, tolerance: Tolerance) -> None:
         self._over = 1.0 + tolerance.over * USED_TOLERANCE
         self._slack = tolerance.slack * USED_TOLERANCE
+        self._spare_over = tolerance.over * (1.0 - USED_TOLERANCE)
+        self._spare_slack = tolerance.slack * (1.0 - USED_TOLERANCE)
         self._window_s = tolerance.window_s
         self._pools: dict[AccountId, _Pool] = {}
         self._loans: dict[NodeId, _Loan] = {}
@@ -222,8 +225,9 @@
         pool.level = min(depth, pool.level + added)
         pool.at = now
         unknown = self._assume_used(window, burst, fleet_size, now)
+        spare = self._spare_over * window + self._spare_slack
         used = pool.count_used(self._loans, now - self._window_s)
-        left = window * part - unknown - used
+        left = window * part - max(0.0, unknown - spare * part) - used
         tokens = max(0.0, min(pool.level, left, need.wanted - need.held))
         if not math.isfinite(tokens):
             return 0.0
