Let three nodes read the store for all; read member rows instead of watching them

Now the first three nodes in an order that all nodes know watch the configuration; the others ask them twice a second and read the store themselves once their evidence is 2.4 s old. Rows are read after the own one was written. Only the first node removes rows of lost ones. Dead nodes are asked less often. Leases of rates take 0.8 s. Ruled out: a longer watch by every node (evidence about keys would be too old).

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_allowances.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_allowances.py
@@ -16,7 +16,7 @@
 from ._config import AccountTerms
 from ._past import SpentTokens
 
-LEASE_S = 1.2
+LEASE_S = 0.8
 # The rest of the tolerance is for the time after a restart, when it is not known what
 # was spent before.
 USED_TOLERANCE = 0.5
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_directory.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_directory.py
@@ -21,6 +21,8 @@
     """
 
     def __init__(self) -> None:
+        # Rises with each change.
+        self.version = 0
         self._members: dict[NodeId, Member] = {}
         self._by_service: dict[ServiceName, list[Member]] = {}
 
@@ -49,6 +51,7 @@
         known = self._members.get(member.node_id)
         if known is not None and order_of(member) <= order_of(known):
             return False
+        self.version += 1
         self._members[member.node_id] = member
         if known is not None:
             self._rebuild(known.service)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
@@ -26,7 +26,7 @@
 EXCHANGE_PERIOD_S = 0.3
 # Requests that find no token share one exchange within this time.
 EXCHANGE_GAP_S = 0.025
-EXCHANGE_TIMEOUT_S = 0.5
+EXCHANGE_TIMEOUT_S = 0.35
 # How long a request waits for tokens that were asked for on its arrival.
 TOKEN_WAIT_S = 0.15
 # Nodes that did not answer are asked for a sign of life this often.
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -41,11 +41,13 @@
 from ._gossip import Gossip
 from ._links import LinkLostError, LinkNotOpenError, Links
 from ._metrics import SidecarMetrics
+from ._reach import Reach
 from ._settings import SidecarSettings
 from ._state import FleetKnowledge
 from ._store_port import ControlStore
 from ._store_sync import StoreSync
 from ._target import LocalTarget
+from ._watchers import Watchers
 
 PROBE_PERIOD_S = 0.25
 # Left of the time for a planned stop when the last connections are closed.
@@ -90,6 +92,7 @@
             on_change=self._renew_own,
             decisions=decisions,
         )
+        self._reach = Reach()
         self._links = Links(
             local=Hello(
                 protocol=PROTOCOL_VERSION,
@@ -99,10 +102,22 @@
             ),
             answer=self._answer_peer,
             on_lost=self._note_lost,
+            on_reached=self._reach.note_reached,
+        )
+        watchers = Watchers(knowledge=self._knowledge, reach=self._reach)
+        self._gossip = Gossip(
+            knowledge=self._knowledge,
+            links=self._links,
+            reach=self._reach,
+            watchers=watchers,
         )
-        self._gossip = Gossip(knowledge=self._knowledge, links=self._links)
         self._store_sync = StoreSync(
-            knowledge=self._knowledge, store=store, metrics=self.metrics
+            knowledge=self._knowledge,
+            store=store,
+            reach=self._reach,
+            watchers=watchers,
+            metrics=self.metrics,
+            on_config=self._gossip.tell_soon,
         )
         bounds = settings.bounds
         self._allowances = Allowances(
@@ -273,15 +288,15 @@
     def _note_lost(self, node_id: NodeId) -> None:
         self._router.lose(node_id, read_clock())
         self._allowances.suspect(node_id)
-        self._store_sync.note_lost(node_id)
+        self._reach.note_lost(node_id)
 
     async def _answer_peer(self, node_id: NodeId, request: Request) -> Reply:
-        self._store_sync.note_heard(node_id)
+        self._reach.note_reached(node_id)
         match request:
             case ForwardCall():
                 return await self._target.run_safely(request)
             case AskFleetState():
-                return self._gossip.answer(request)
+                return self._gossip.answer(node_id, request)
             case LendAllowances():
                 return self._allowances.hold(node_id, request)
             case _:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
@@ -1,8 +1,9 @@
 """Exchange of configuration, its age and member records between nodes.
 
-A node that the store turns away, or that has just restarted, gets from its peers
-what they know. Each exchange is a question and its answer, so that the age of
-the evidence is counted from before the question and never too young.
+A node that does not read the store itself, that the store turns away or that has just
+restarted, gets from its peers what they know. Each exchange is a question and its
+answer, so that the age of the evidence is counted from before the question and never
+too young.
 """
 
 import random
@@ -17,49 +18,74 @@
 
 from ._clock import read_clock
 from ._links import LinkLostError, LinkNotOpenError, Links
+from ._reach import Reach
 from ._state import FleetKnowledge
+from ._watchers import Watchers
 
-PERIOD_S = 0.4
-FANOUT = 1
+PERIOD_S = 0.5
 ASK_TIMEOUT_S = 0.6
-# Peers that are told of a change of this node's own record at once.
+# Peers that are told at once of a change of this node's record or configuration.
 MAX_TOLD = 64
+# Part of the exchanges that go to any node instead of one that reads the store.
+RANDOM_PART = 0.3
+# Part of the exchanges with any node that may go to one that is out of reach.
+LOST_PART = 0.1
 
 
 class Gossip:
-    """Asks random peers for what is newer, and answers such questions."""
-
-    def __init__(self, *, knowledge: FleetKnowledge, links: Links) -> None:
+    """Asks peers for what is newer, and answers such questions."""
+
+    def __init__(
+        self,
+        *,
+        knowledge: FleetKnowledge,
+        links: Links,
+        reach: Reach,
+        watchers: Watchers,
+    ) -> None:
         self._knowledge = knowledge
         self._links = links
+        self._reach = reach
+        self._watchers = watchers
         self._encoded: tuple[int, bytes] = (0, b"")
         self._told = anyio.Event()
+        self._newer_at: NodeId | None = None
+        self._heard_newer = anyio.Event()
 
     async def run(self) -> None:
-        """Exchange with random peers until cancelled."""
+        """Exchange with peers until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._tell)
             while True:
-                for member in self._pick(FANOUT):
+                member = self._pick()
+                if member is not None:
                     tasks.start_soon(self._exchange, member)
-                await anyio.sleep(PERIOD_S * random.uniform(0.8, 1.2))
+                self._newer_at = None
+                with anyio.move_on_after(PERIOD_S * random.uniform(0.8, 1.2)):
+                    await self._heard_newer.wait()
+                self._heard_newer = anyio.Event()
 
     def tell_soon(self) -> None:
-        """Tell peers of a change of this node's own record."""
+        """Tell peers of a change of this node's record or configuration."""
         self._told.set()
 
     async def tell_all(self) -> None:
-        """Tell peers of this node's own record and wait for their answers."""
+        """Tell peers of this node's state and wait for their answers."""
+        others = self._others()
         async with anyio.create_task_group() as tasks:
-            for member in self._pick(MAX_TOLD):
+            for member in random.sample(others, min(MAX_TOLD, len(others))):
                 tasks.start_soon(self._exchange, member)
 
-    def answer(self, ask: AskFleetState) -> FleetState:
+    def answer(self, node_id: NodeId, ask: AskFleetState) -> FleetState:
         """Return what is newer here than at the asking node."""
         for member in ask.members:
             self._knowledge.adopt_member(member)
         knowledge = self._knowledge
         version = knowledge.config_version
+        if ask.config_version > version:
+            # The next exchange, with the node that knows more, begins at once.
+            self._newer_at = node_id
+            self._heard_newer.set()
         digest = knowledge.directory.digest()
         members: list[Member] = []
         if ask.versions:
@@ -85,10 +111,22 @@
             self._told = anyio.Event()
             await self.tell_all()
 
-    def _pick(self, count: int) -> list[Member]:
+    def _pick(self) -> Member | None:
+        """Return the next node to ask: mostly one that reads the store."""
+        if self._newer_at is not None:
+            return self._knowledge.directory.find(self._newer_at)
+        watchers = self._watchers.others()
+        asks_any = self._watchers.includes_own() or random.random() < RANDOM_PART
+        if watchers and not asks_any:
+            return random.choice(watchers)
+        others = self._others()
+        if random.random() >= LOST_PART:
+            others = [m for m in others if not self._reach.is_lost(m.node_id)] or others
+        return random.choice(others) if others else None
+
+    def _others(self) -> list[Member]:
         own = self._knowledge.own.node_id
-        others = [m for m in self._knowledge.directory.live() if m.node_id != own]
-        return random.sample(others, min(count, len(others)))
+        return [m for m in self._knowledge.directory.live() if m.node_id != own]
 
     async def _exchange(self, member: Member) -> None:
         try:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
@@ -39,7 +39,8 @@
 class Links:
     """One stream to each node that this node talks to.
 
-    ``on_lost`` is called when a node could not be reached or went silent.
+    ``on_lost`` is called when a node could not be reached or went silent, and
+    ``on_reached`` when a stream to it was opened.
     """
 
     def __init__(
@@ -48,10 +49,12 @@
         local: Hello,
         answer: AnswerNode,
         on_lost: Callable[[NodeId], None],
+        on_reached: Callable[[NodeId], None],
     ) -> None:
         self._local = local
         self._answer = answer
         self._on_lost = on_lost
+        self._on_reached = on_reached
         self._streams: dict[NodeId, DirectStream] = {}
         self._opening: dict[NodeId, asyncio.Task[None]] = {}
         self._accepted: set[DirectStream] = set()
@@ -122,6 +125,7 @@
                 stream.close()
                 raise OSError(f"{hello.node_id} answers at the address")
             self._streams[member.node_id] = stream
+            self._on_reached(member.node_id)
         except (OSError, TimeoutError, StreamLostError, FrameError) as error:
             self._note_lost(member.node_id, f"no stream could be opened: {error}")
         finally:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_port.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_port.py
@@ -31,18 +31,17 @@
 
 
 class StoredMember(msgspec.Struct, frozen=True, kw_only=True):
-    """A member's row; ``member`` is None when the row was removed."""
+    """A member's row and its version in the store."""
 
     node_id: NodeId
-    member: Member | None
+    member: Member
     version: int
 
 
 class MemberReading(msgspec.Struct, frozen=True, kw_only=True):
-    """Rows of members, and the position that continues a watch."""
+    """The rows of all members."""
 
     rows: tuple[StoredMember, ...]
-    position: int
 
 
 class ControlStore(Protocol):
@@ -61,9 +60,6 @@
     async def read_members(self) -> MemberReading:
         """Return the rows of all members."""
 
-    async def watch_members(self, position: int, *, wait_s: float) -> MemberReading:
-        """Wait for changed rows; may raise ``HistoryLostError``."""
-
     async def write_member(self, member: Member) -> int:
         """Write this node's own row; return the version of the row."""
 
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_sync.py
@@ -10,42 +10,56 @@
 
 from ._clock import read_clock
 from ._metrics import SidecarMetrics
+from ._reach import Reach
 from ._state import FleetKnowledge
 from ._store_port import (
     ConfigReading,
     ControlStore,
     HistoryLostError,
-    MemberReading,
     StoreUnavailableError,
 )
+from ._watchers import Watchers
 
 # The end of each watch renews the evidence that the configuration is the newest.
-CONFIG_WAIT_S = 2.0
-MEMBERS_WAIT_S = 25.0
+CONFIG_WAIT_S = 1.5
+# A node whose evidence is older than this reads the store itself.
+STALE_AFTER_S = 2.4
+CHECK_PERIOD_S = 0.2
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 1.0
 # A node that nobody reached for this long has its row removed.
 ABANDONED_S = 12.0
-HOUSEKEEPING_PERIOD_S = 2.0
+# Watchers read all rows this often, in case the nodes did not tell each other.
+MEMBERS_PERIOD_S = 10.0
+# A node that knows nobody else reads the rows this often.
+ALONE_PERIOD_S = 2.0
 
 
 class StoreSync:
-    """Follows the store, and keeps this node's own row current."""
+    """Follows the store, and keeps this node's own row current.
+
+    ``on_config`` is called after a new configuration was adopted from the store.
+    """
 
     def __init__(
         self,
         *,
         knowledge: FleetKnowledge,
         store: ControlStore,
+        reach: Reach,
+        watchers: Watchers,
         metrics: SidecarMetrics,
+        on_config: Callable[[], None],
     ) -> None:
         self._knowledge = knowledge
         self._store = store
+        self._reach = reach
+        self._watchers = watchers
         self._metrics = metrics
+        self._on_config = on_config
         self._connected: bool | None = None
         self._own_changed = anyio.Event()
         self._row_versions: dict[NodeId, int] = {}
-        self._lost_since: dict[NodeId, float] = {}
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -53,7 +67,6 @@
             tasks.start_soon(self._repeat, self._follow_config)
             tasks.start_soon(self._repeat, self._follow_members)
             tasks.start_soon(self._repeat, self._write_own)
-            tasks.start_soon(self._remove_abandoned)
 
     def write_soon(self) -> None:
         """Write this node's own record, because it changed."""
@@ -70,14 +83,6 @@
         except StoreUnavailableError as error:
             self._note_lost(error)
 
-    def note_lost(self, node_id: NodeId) -> None:
-        """Note that a node could not be reached."""
-        self._lost_since.setdefault(node_id, read_clock())
-
-    def note_heard(self, node_id: NodeId) -> None:
-        """Note that a node sent something."""
-        self._lost_since.pop(node_id, None)
-
     async def _repeat(self, follow: Callable[[], Awaitable[None]]) -> None:
         delay_s = RETRY_MIN_S
         while True:
@@ -99,17 +104,26 @@
         reading = await self._store.read_config()
         self._take_config(reading, sent_at)
         while True:
+            if not self._reads_itself():
+                await anyio.sleep(CHECK_PERIOD_S)
+                continue
             sent_at = read_clock()
             reading = await self._store.watch_config(
                 reading.position, wait_s=CONFIG_WAIT_S
             )
             self._take_config(reading, sent_at)
 
+    def _reads_itself(self) -> bool:
+        age_s = self._knowledge.freshness.age_s(read_clock())
+        return age_s > STALE_AFTER_S or self._watchers.includes_own()
+
     def _take_config(self, reading: ConfigReading, sent_at: float) -> None:
         self._note_answer()
         knowledge = self._knowledge
-        if reading.config is not None:
-            knowledge.adopt_config(reading.config, source="store")
+        if reading.config is not None and knowledge.adopt_config(
+            reading.config, source="store"
+        ):
+            self._on_config()
         if reading.is_newest and knowledge.index is not None:
             knowledge.freshness.note_store(
                 sent_at=sent_at,
@@ -118,26 +132,32 @@
             )
 
     async def _follow_members(self) -> None:
-        reading = await self._store.read_members()
-        self._take_members(reading)
         while True:
-            reading = await self._store.watch_members(
-                reading.position, wait_s=MEMBERS_WAIT_S
-            )
-            self._take_members(reading)
+            await self._read_members()
+            await self._remove_abandoned()
+            await self._wait_to_read_members()
 
-    def _take_members(self, reading: MemberReading) -> None:
+    async def _wait_to_read_members(self) -> None:
+        started = read_clock()
+        while True:
+            await anyio.sleep(CHECK_PERIOD_S * 2)
+            waited_s = read_clock() - started
+            alone = len(self._knowledge.directory) < 2
+            if waited_s > MEMBERS_PERIOD_S and self._watchers.includes_own():
+                return
+            if waited_s > ALONE_PERIOD_S and (alone or self._finds_abandoned()):
+                return
+
+    async def _read_members(self) -> None:
+        reading = await self._store.read_members()
         self._note_answer()
-        self._knowledge.knows_members = True
-        own = self._knowledge.own.node_id
+        knowledge = self._knowledge
+        knowledge.knows_members = True
+        own = knowledge.own.node_id
+        self._row_versions = {row.node_id: row.version for row in reading.rows}
         for row in reading.rows:
-            if row.member is None:
-                self._row_versions.pop(row.node_id, None)
-                self._knowledge.declare_dead(row.node_id)
-                continue
-            self._row_versions[row.node_id] = row.version
-            self._knowledge.adopt_member(row.member)
-            if row.node_id == own and row.member != self._knowledge.own:
+            knowledge.adopt_member(row.member)
+            if row.node_id == own and row.member != knowledge.own:
                 self.write_soon()
 
     async def _write_own(self) -> None:
@@ -152,25 +172,30 @@
             except StoreUnavailableError:
                 self._own_changed.set()
                 raise
+            first = own.node_id not in self._row_versions
             self._row_versions[own.node_id] = version
+            if first:
+                # Of two nodes that write and then read, one sees the other's row.
+                await self._read_members()
+
+    def _finds_abandoned(self) -> bool:
+        if not self._watchers.is_first():
+            return False
+        lost = self._reach.lost_for(ABANDONED_S)
+        return any(node_id in self._row_versions for node_id in lost)
 
     async def _remove_abandoned(self) -> None:
-        while True:
-            await anyio.sleep(HOUSEKEEPING_PERIOD_S * random.uniform(0.7, 1.3))
-            now = read_clock()
-            for node_id, since in list(self._lost_since.items()):
-                if now - since < ABANDONED_S:
-                    continue
-                version = self._row_versions.pop(node_id, None)
-                if version is None:
-                    continue
-                logger.bind(peer=node_id, silent_s=round(now - since, 1)).info(
-                    "members: The row of an abandoned node is removed."
-                )
-                try:
-                    await self._store.remove_member(node_id, version=version)
-                except StoreUnavailableError as error:
-                    self._note_lost(error)
+        if not self._watchers.is_first():
+            return
+        for node_id in self._reach.lost_for(ABANDONED_S):
+            version = self._row_versions.pop(node_id, None)
+            if version is None:
+                continue
+            logger.bind(peer=node_id, silent_s=ABANDONED_S).info(
+                "members: The row of an abandoned node is removed."
+            )
+            await self._store.remove_member(node_id, version=version)
+            self._knowledge.declare_dead(node_id)
 
     def _note_answer(self) -> None:
         self._metrics.store_calls.labels("answered").inc()
--- a/packages/endivebeam-sidecar/tests/_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_fleet.py
@@ -126,10 +126,6 @@
             raise StoreUnavailableError("the members cannot be read")
         return self._member_reading()
 
-    async def watch_members(self, position: int, *, wait_s: float) -> MemberReading:
-        await self._wait(position, wait_s)
-        return self._member_reading()
-
     async def write_member(self, member: Member) -> int:
         await self._answer()
         self._note_change()
@@ -169,7 +165,7 @@
             StoredMember(node_id=n, member=m, version=v)
             for n, (m, v) in self.members.items()
         )
-        return MemberReading(rows=rows, position=self.version)
+        return MemberReading(rows=rows)
 
 
 class StoreView:
@@ -188,9 +184,6 @@
     async def read_members(self) -> MemberReading:
         return await self._guard(self._store.read_members())
 
-    async def watch_members(self, position: int, *, wait_s: float) -> MemberReading:
-        return await self._guard(self._store.watch_members(position, wait_s=wait_s))
-
     async def write_member(self, member: Member) -> int:
         return await self._guard(self._store.write_member(member))
 
--- a/tests/thistlegate/test_store.py
+++ b/tests/thistlegate/test_store.py
@@ -101,8 +101,7 @@
             await store.remove_member(NodeId("n1"), version=version - 1)
             assert len((await store.read_members()).rows) == 1
             await store.remove_member(NodeId("n1"), version=version)
-            gone = await store.watch_members(reading.position, wait_s=5)
-            assert [row.member for row in gone.rows] == [None]
+            assert (await store.read_members()).rows == ()
 
     async def test_more_rows_than_a_page_are_all_read(self):
         async with run_store() as (_, store):
