--- a/packages/endivebeam-cli/src/endivebeam_cli/_contracts.py
+++ b/packages/endivebeam-cli/src/endivebeam_cli/_contracts.py
@@ -8,15 +8,8 @@
 import msgspec
 import typer
 
-from endivebeam_model import (
-    AccountId,
-    Change,
-    ConfigVersion,
-    Contract,
+from endivebeam_documents import (
     ContractDocument,
-    RemoveContract,
-    ServiceName,
-    Snapshot,
     describe_change,
     diff_document,
     dump_document,
@@ -25,6 +18,15 @@
     has_errors,
     load_document,
 )
+from endivebeam_model import (
+    AccountId,
+    Change,
+    ConfigVersion,
+    Contract,
+    RemoveContract,
+    ServiceName,
+    Snapshot,
+)
 
 from ._client import FleetClient
 from ._exits import Exit, ToolError
--- a/packages/endivebeam-cli/src/endivebeam_cli/_keys.py
+++ b/packages/endivebeam-cli/src/endivebeam_cli/_keys.py
@@ -7,8 +7,8 @@
 
 import typer
 
+from endivebeam_documents import KEY_ID_CHARS
 from endivebeam_model import (
-    KEY_ID_CHARS,
     AccountId,
     IssueKey,
     Key,
--- a/packages/endivebeam-model/src/endivebeam_model/_change_checks.py
+++ b/packages/endivebeam-documents/src/endivebeam_documents/_change_checks.py
@@ -4,18 +4,22 @@
 
 from pydantic import ValidationError
 
-from ._changes import (
+from endivebeam_model import (
     Change,
+    Contract,
     IssueKey,
+    Key,
+    KeyDigest,
     PutContract,
     PutService,
     RemoveService,
+    ServiceName,
+    Snapshot,
     WithdrawKey,
 )
-from ._contracts import Contract, Key, Snapshot
+
 from ._conversion import from_snapshot
 from ._findings import Path, format_path
-from ._ids import KeyDigest, ServiceName
 from ._loading import suggest
 
 _DIGEST = re.compile(r"[0-9a-f]{64}")
--- a/packages/endivebeam-model/src/endivebeam_model/_conversion.py
+++ b/packages/endivebeam-documents/src/endivebeam_documents/_conversion.py
@@ -5,16 +5,23 @@
 import msgspec
 import yaml
 
-from ._changes import (
+from endivebeam_model import (
+    AccountId,
     Change,
+    Contract,
     IssueKey,
+    Objectives,
     PutContract,
     PutService,
     RemoveContract,
     RemoveService,
+    Route,
+    Service,
+    ServiceName,
+    Snapshot,
     WithdrawKey,
 )
-from ._contracts import Contract, Objectives, Route, Service, Snapshot
+
 from ._document import (
     AccountEntry,
     ContractDocument,
@@ -22,7 +29,6 @@
     RouteEntry,
     ServiceEntry,
 )
-from ._ids import AccountId, ServiceName
 
 # Enough of a digest to tell keys apart in lists and logs.
 KEY_ID_CHARS = 12
--- a/packages/endivebeam-model/src/endivebeam_model/_document.py
+++ b/packages/endivebeam-documents/src/endivebeam_documents/_document.py
@@ -4,11 +4,16 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from ._contracts import DEFAULT_RETRY_CREDITS, DEFAULT_TIMEOUT_S
+from endivebeam_model import (
+    DEFAULT_RETRY_CREDITS,
+    DEFAULT_TIMEOUT_S,
+    Criticality,
+    Semantics,
+    ServiceName,
+)
+
 from ._findings import Finding, Path, Severity, Source, has_errors
-from ._ids import ServiceName
 from ._loading import Loaded, load_model, suggest
-from ._states import Criticality, Semantics
 
 # A drain waits this long for calls in flight, so that it cuts no call.
 MAX_TIMEOUT_MS = 30_000
--- a/packages/endivebeam-model/tests/test_documents.py
+++ b/packages/endivebeam-documents/tests/test_documents.py
@@ -8,13 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from endivebeam_model import (
-    ConfigVersion,
+from endivebeam_documents import (
     ContractDocument,
-    LogEntry,
-    OperationId,
-    Snapshot,
-    apply_entry,
     build_schema,
     diff_document,
     dump_document,
@@ -22,6 +17,7 @@
     from_snapshot,
     load_document,
 )
+from endivebeam_model import ConfigVersion, LogEntry, OperationId, Snapshot, apply_entry
 
 SCHEMA_FILE = Path(__file__).parents[3] / "docs" / "contract.schema.json"
 
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_config.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_config.py
@@ -4,13 +4,7 @@
 
 import msgspec
 
-from endivebeam_model import (
-    AccountId,
-    ConfigVersion,
-    KeyDigest,
-    Semantics,
-    ServiceName,
-)
+from endivebeam_model import AccountId, ConfigVersion, KeyDigest, Semantics, ServiceName
 
 _encoder = msgspec.msgpack.Encoder()
 
--- a/packages/endivebeam-model/src/endivebeam_model/__init__.py
+++ b/packages/endivebeam-model/src/endivebeam_model/__init__.py
@@ -1,4 +1,7 @@
-"""Contracts, routes, configuration and member records of endivebeam."""
+"""Contracts, routes, configuration and member records of endivebeam.
+
+The node imports this package, so it needs no library that reads documents.
+"""
 
 from ._burn import (
     AccountCounts,
@@ -8,7 +11,6 @@
     name_minute,
     sum_counts,
 )
-from ._change_checks import check_change
 from ._changes import (
     Change,
     IssueKey,
@@ -31,17 +33,6 @@
     Service,
     Snapshot,
 )
-from ._conversion import (
-    KEY_ID_CHARS,
-    describe_change,
-    diff_document,
-    dump_document,
-    from_snapshot,
-    to_contract,
-    to_service,
-)
-from ._document import MAX_TIMEOUT_MS, ContractDocument, check_document, load_document
-from ._findings import Finding, Place, Severity, Source, format_path, has_errors
 from ._ids import (
     AccountId,
     ChainId,
@@ -53,11 +44,9 @@
     RegionName,
     ServiceName,
 )
-from ._loading import Loaded, check_data, load_model, suggest
 from ._lookup import authenticate, digest_key, find_route
 from ._members import Address, AgedMember, Member
 from ._refusals import Refusal
-from ._schema import build_schema, dump_schema
 from ._states import (
     Criticality,
     GrantStatus,
@@ -72,8 +61,6 @@
     "ABSENT_TAG",
     "DEFAULT_RETRY_CREDITS",
     "DEFAULT_TIMEOUT_S",
-    "KEY_ID_CHARS",
-    "MAX_TIMEOUT_MS",
     "AccountCounts",
     "AccountId",
     "Address",
@@ -82,16 +69,13 @@
     "Change",
     "ConfigVersion",
     "Contract",
-    "ContractDocument",
     "Counts",
     "Criticality",
     "DomainName",
-    "Finding",
     "GrantStatus",
     "IssueKey",
     "Key",
     "KeyDigest",
-    "Loaded",
     "LogEntry",
     "Member",
     "MemberState",
@@ -99,7 +83,6 @@
     "NodeId",
     "Objectives",
     "OperationId",
-    "Place",
     "PutContract",
     "PutService",
     "Refusal",
@@ -112,34 +95,16 @@
     "Semantics",
     "Service",
     "ServiceName",
-    "Severity",
     "Snapshot",
-    "Source",
     "VersionGap",
     "WithdrawKey",
     "add_counts",
     "apply_entry",
     "authenticate",
-    "build_schema",
-    "check_change",
-    "check_data",
-    "check_document",
-    "describe_change",
-    "diff_document",
     "digest_key",
-    "dump_document",
-    "dump_schema",
     "find_object",
     "find_route",
-    "format_path",
-    "from_snapshot",
-    "has_errors",
-    "load_document",
-    "load_model",
     "make_tag",
     "name_minute",
-    "suggest",
     "sum_counts",
-    "to_contract",
-    "to_service",
 ]
--- a/packages/endivebeam-node/src/endivebeam_node/_admin.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_admin.py
@@ -12,9 +12,9 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from endivebeam_documents import KEY_ID_CHARS
 from endivebeam_model import (
     ABSENT_TAG,
-    KEY_ID_CHARS,
     ConfigVersion,
     Key,
     LogEntry,
--- a/packages/endivebeam-node/src/endivebeam_node/_burn_sync.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_burn_sync.py
@@ -9,12 +9,7 @@
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from endivebeam_model import (
-    Address,
-    DomainName,
-    MinuteCounts,
-    name_minute,
-)
+from endivebeam_model import Address, DomainName, MinuteCounts, name_minute
 from endivebeam_store import Unavailable
 from endivebeam_wire import (
     CountsKept,
--- a/packages/endivebeam-node/src/endivebeam_node/_calls.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_calls.py
@@ -4,13 +4,7 @@
 import msgspec
 
 from endivebeam_limits import RetryBudgets
-from endivebeam_model import (
-    Member,
-    NodeId,
-    RefusalReason,
-    RunStatus,
-    Semantics,
-)
+from endivebeam_model import Member, NodeId, RefusalReason, RunStatus, Semantics
 from endivebeam_wire import (
     CallAnswer,
     CallRefused,
--- a/packages/endivebeam-node/src/endivebeam_node/_commits.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_commits.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from returns.result import Failure, Success
 
+from endivebeam_documents import check_change
 from endivebeam_model import (
     Change,
     ConfigVersion,
@@ -17,7 +18,6 @@
     OperationId,
     Service,
     WithdrawKey,
-    check_change,
     find_object,
     make_tag,
 )
--- a/packages/endivebeam-node/src/endivebeam_node/_config.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_config.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from returns.result import Success
 
+from endivebeam_documents import describe_change
 from endivebeam_model import (
     ConfigVersion,
     KeyDigest,
@@ -15,7 +16,6 @@
     PutService,
     Snapshot,
     apply_entry,
-    describe_change,
 )
 
 RECENT_ENTRIES = 1024
--- a/packages/endivebeam-node/src/endivebeam_node/_settings_load.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_settings_load.py
@@ -8,7 +8,7 @@
 import msgspec
 import yaml
 
-from endivebeam_model import (
+from endivebeam_documents import (
     Finding,
     Loaded,
     Severity,
--- a/packages/endivebeam-node/tests/test_burn.py
+++ b/packages/endivebeam-node/tests/test_burn.py
@@ -11,13 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from returns.result import Failure, Result, Success
 
-from endivebeam_model import (
-    AccountId,
-    Address,
-    DomainName,
-    MinuteCounts,
-    name_minute,
-)
+from endivebeam_model import AccountId, Address, DomainName, MinuteCounts, name_minute
 from endivebeam_node._burn import (
     GATHER_S,
     MAX_PAIRS,
--- a/packages/endivebeam-node/tests/test_config_sync.py
+++ b/packages/endivebeam-node/tests/test_config_sync.py
@@ -8,12 +8,7 @@
 import pytest
 from returns.result import Failure, Result, Success
 
-from endivebeam_model import (
-    ConfigVersion,
-    KeyDigest,
-    LogEntry,
-    NodeId,
-)
+from endivebeam_model import ConfigVersion, KeyDigest, LogEntry, NodeId
 from endivebeam_node import _config_sync
 from endivebeam_node._config import ConfigCopy
 from endivebeam_node._config_sync import ConfigSync, snapshot_name
--- /dev/null
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_exchange.py
@@ -0,0 +1,72 @@
+"""What a target gets for a call, and what its answer means."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import NamedTuple
+
+from endivebeam_http import Response
+from endivebeam_wire import ForwardCall, ForwardOutcome
+
+from ._settings import HeaderNames
+
+_METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+# Statuses that promise that a call never ran. A target that ran it must not be quoted
+# with them.
+_PROMISES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+
+
+class Judgment(NamedTuple):
+    """How far a call got, by the target's answer; ``reason`` is for the log."""
+
+    outcome: ForwardOutcome
+    reason: str = ""
+
+
+def encode_call(
+    call: ForwardCall, *, names: HeaderNames, instance: str, left_s: float
+) -> bytes:
+    """Return the request for a target, which has the time that is left."""
+    parts = [f"{call.method} {call.path} HTTP/1.1\r\n".encode("latin-1")]
+    for name, value in call.headers:
+        parts.append(b"%b: %b\r\n" % (name, value))
+    parts.append(b"%b: %b\r\n" % (names.call_id, call.call_id.encode("latin-1")))
+    parts.append(b"%b: %d\r\n" % (names.deadline_ms, max(1, int(left_s * 1000))))
+    parts.append(b"%b: %b\r\n" % (names.expected_instance, instance.encode()))
+    if call.account:
+        parts.append(b"%b: %b\r\n" % (names.account, call.account.encode()))
+    if call.body or call.method in _METHODS_WITH_BODY:
+        parts.append(b"content-length: %d\r\n" % len(call.body))
+    parts.append(b"\r\n")
+    parts.append(call.body)
+    return b"".join(parts)
+
+
+def match_answer(call_id: str, *, names: HeaderNames) -> Callable[[Response], bool]:
+    """Return a test whether an answer belongs to a call."""
+    wanted = call_id.encode("latin-1")
+    return lambda response: response.get(names.call_id) == wanted
+
+
+def judge_answer(response: Response, *, names: HeaderNames) -> Judgment:
+    """Return what a whole answer of the target means for the call."""
+    status = response.status
+    misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
+    if misdirected or response.get(names.not_executed) is not None:
+        reason = f"target answered {status} without running the call"
+        return Judgment(ForwardOutcome.NOT_EXECUTED, reason)
+    proven = response.get(names.proof) is not None
+    if status < HTTPStatus.BAD_REQUEST and not proven:
+        reason = "the answer has no proof of the target"
+        return Judgment(ForwardOutcome.UNKNOWN, reason)
+    if response.get(b"content-encoding") is not None:
+        reason = "the answer is encoded, which was not asked for"
+        return Judgment(ForwardOutcome.UNKNOWN, reason)
+    if status in _PROMISES:
+        return Judgment(ForwardOutcome.UNKNOWN, f"target answered {status}")
+    return Judgment(ForwardOutcome.ANSWERED)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from http import HTTPStatus
 
 import msgspec
 from loguru import logger
@@ -40,6 +41,7 @@
 
 from ._clock import read_clock
 from ._decisions import Decision, DecisionLog, TurnAwayDetail
+from ._exchange import encode_call, judge_answer, match_answer
 from ._metrics import SidecarMetrics
 from ._settings import HeaderNames
 
@@ -260,9 +262,14 @@
         left_s = max(0.0, slot.deadline - started)
         try:
             response = await connection.exchange(
-                self._encode(call, announcement, left_s),
+                encode_call(
+                    call,
+                    names=self._headers,
+                    instance=announcement.instance,
+                    left_s=left_s,
+                ),
                 head_only=call.method == "HEAD",
-                matches=self._matcher(call.call_id),
+                matches=match_answer(call.call_id, names=self._headers),
                 timeout_s=left_s,
             )
         except TimeoutError:
@@ -271,62 +278,23 @@
             return self._unknown(call, str(error))
         pool.release(connection)
         self._metrics.target_latency.observe(read_clock() - started)
-        return self._classify(call, response)
+        return self._reply(call, response)
 
-    def _classify(self, call: ForwardCall, response: Response) -> ForwardReply:
-        names = self._headers
-        if response.status == 421 or response.get(names.not_executed) is not None:
-            if response.status == 421:
+    def _reply(self, call: ForwardCall, response: Response) -> ForwardReply:
+        judgment = judge_answer(response, names=self._headers)
+        if judgment.outcome is not ForwardOutcome.ANSWERED:
+            if response.status == HTTPStatus.MISDIRECTED_REQUEST:
                 self._note_unreachable("another target has the address")
-            return ForwardReply(
-                request_id=call.request_id,
-                outcome=ForwardOutcome.NOT_EXECUTED,
-                load=self.load,
-                reason=f"target answered {response.status} without running the call",
-            )
-        proven = response.get(names.proof) is not None
-        if response.status < 400 and not proven:
-            return self._unknown(call, "the answer has no proof of the target")
-        if response.get(b"content-encoding") is not None:
-            return self._unknown(call, "the answer is encoded, which was not asked for")
-        if response.status in (408, 429, 503):
-            # The status would promise that the call never ran; the target says
-            # nothing of the kind.
-            return self._unknown(call, f"target answered {response.status}")
-        fields = [Header(*f) for f in strip_hop_by_hop(response.fields)]
+            return self._describe_end(call, judgment.outcome, judgment.reason)
         return ForwardReply(
             request_id=call.request_id,
             outcome=ForwardOutcome.ANSWERED,
             load=self.load,
             status=response.status,
-            headers=fields,
+            headers=[Header(*f) for f in strip_hop_by_hop(response.fields)],
             body=response.body,
         )
 
-    def _matcher(self, call_id: str) -> Callable[[Response], bool]:
-        wanted = call_id.encode("latin-1")
-        name = self._headers.call_id
-        return lambda response: response.get(name) == wanted
-
-    def _encode(
-        self, call: ForwardCall, announcement: Announcement, left_s: float
-    ) -> bytes:
-        names = self._headers
-        parts = [f"{call.method} {call.path} HTTP/1.1\r\n".encode("latin-1")]
-        for name, value in call.headers:
-            parts.append(b"%b: %b\r\n" % (name, value))
-        parts.append(b"%b: %b\r\n" % (names.call_id, call.call_id.encode("latin-1")))
-        parts.append(b"%b: %d\r\n" % (names.deadline_ms, max(1, int(left_s * 1000))))
-        instance = announcement.instance.encode()
-        parts.append(b"%b: %b\r\n" % (names.expected_instance, instance))
-        if call.account:
-            parts.append(b"%b: %b\r\n" % (names.account, call.account.encode()))
-        if call.body or call.method in ("POST", "PUT", "PATCH"):
-            parts.append(b"content-length: %d\r\n" % len(call.body))
-        parts.append(b"\r\n")
-        parts.append(call.body)
-        return b"".join(parts)
-
     def _refuse(
         self, call: ForwardCall, reason: str, *, leaving: bool, pressure: float = 0.0
     ) -> ForwardReply:
@@ -356,9 +324,14 @@
         )
 
     def _unknown(self, call: ForwardCall, reason: str) -> ForwardReply:
+        return self._describe_end(call, ForwardOutcome.UNKNOWN, reason)
+
+    def _describe_end(
+        self, call: ForwardCall, outcome: ForwardOutcome, reason: str
+    ) -> ForwardReply:
         return ForwardReply(
             request_id=call.request_id,
-            outcome=ForwardOutcome.UNKNOWN,
+            outcome=outcome,
             load=self.load,
             reason=reason[:200],
         )
--- a/packages/endivebeam-store/src/endivebeam_store/_config_log.py
+++ b/packages/endivebeam-store/src/endivebeam_store/_config_log.py
@@ -6,12 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from endivebeam_model import (
-    Change,
-    ConfigVersion,
-    LogEntry,
-    OperationId,
-)
+from endivebeam_model import Change, ConfigVersion, LogEntry, OperationId
 
 from ._rows import (
     CommitError,
--- a/packages/endivebeam-wire/src/endivebeam_wire/_rate_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_rate_messages.py
@@ -5,12 +5,7 @@
 
 import msgspec
 
-from endivebeam_model import (
-    AccountId,
-    GrantStatus,
-    NodeId,
-    OperationId,
-)
+from endivebeam_model import AccountId, GrantStatus, NodeId, OperationId
 
 from ._base import PeerMessage, ShortText
 
