--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -174,6 +174,9 @@
         if len(self._open) >= MAX_OPEN_EXCHANGES and not self._paused:
             self._paused = True
             self._stream.pause()
+            logger.bind(open=len(self._open)).info(
+                "calls: A caller has too many open requests; reading is paused."
+            )
 
     def _end(self, error: Exception | None) -> None:
         # A caller that closed its side has left; its answers have no reader any more.
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -1,5 +1,6 @@
 """Requests of callers: route, account, allowance, and the answer they get."""
 
+import asyncio
 import random
 from http import HTTPStatus
 
@@ -20,7 +21,7 @@
 from ._allowances import Allowances, Spending
 from ._attempts import Call, Caller
 from ._clock import read_clock
-from ._decisions import Decision, DecisionLog, RefusalDetail
+from ._decisions import Decision, DecisionLog, DepartureDetail, RefusalDetail
 from ._metrics import SidecarMetrics
 from ._settings import SidecarSettings
 from ._state import FleetKnowledge
@@ -80,7 +81,11 @@
         arrived = read_clock()
         request = exchange.request
         call_id = request.get(self._settings.headers.call_id) or b""
-        outcome = await self._decide(exchange, call_id.decode("latin-1"), arrived)
+        try:
+            outcome = await self._decide(exchange, call_id.decode("latin-1"), arrived)
+        except asyncio.CancelledError:
+            self._note_departure(call_id, read_clock() - arrived)
+            raise
         took_s = read_clock() - arrived
         if isinstance(outcome, Refusal):
             self._log_refusal(call_id, outcome, took_s)
@@ -229,6 +234,15 @@
             fields.append(Field(b"retry-after", value))
         return Response(status=refusal.status, fields=fields, body=refusal.to_json())
 
+    def _note_departure(self, call_id: bytes, took_s: float) -> None:
+        self._metrics.measure_request("abandoned", took_s)
+        self._decisions.note(
+            Decision.ABANDONED,
+            lambda: DepartureDetail(
+                id=call_id.decode("latin-1"), took_ms=int(took_s * 1000)
+            ),
+        )
+
     def _log_refusal(self, call_id: bytes, refusal: Refusal, took_s: float) -> None:
         def make_detail() -> RefusalDetail:
             return RefusalDetail(
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -1,5 +1,6 @@
 """Assembly of a node: its parts, ports, and the order of start and stop."""
 
+import asyncio
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -56,6 +57,9 @@
 # Callers are moved away after two failed checks of readiness, a second apart.
 CALLERS_LEAVE_S = 2.5
 GAUGE_PERIOD_S = 2.0
+LAG_PERIOD_S = 0.5
+# Callers notice a loop that is held up for this long.
+LONG_LAG_S = 0.1
 RESTART_DELAY_S = 0.5
 CONTROL_CONNECTIONS = 64
 
@@ -215,6 +219,7 @@
                 self._allowances.run,
                 self._probe_lost,
                 self._update_gauges,
+                self._measure_lag,
             ):
                 tasks.start_soon(_supervise, loop)
             logger.bind(
@@ -330,6 +335,18 @@
             self.metrics.config_version.set(self._knowledge.config_version)
             self.metrics.config_age.set(min(self.config_age_s, 3600.0))
 
+    async def _measure_lag(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + LAG_PERIOD_S
+            await anyio.sleep(LAG_PERIOD_S)
+            lag_s = max(0.0, loop.time() - due)
+            self.metrics.loop_lag.observe(lag_s)
+            if lag_s > LONG_LAG_S:
+                logger.bind(lag_ms=int(lag_s * 1000)).warning(
+                    "node: The event loop was held up."
+                )
+
 
 async def _listen(address: Address) -> TcpListener:
     return await listen_tcp(address.host, address.port)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_decisions.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_decisions.py
@@ -22,6 +22,8 @@
     REFUSED = ("WARNING", "calls", "A request was refused.")
     TURNED_AWAY = ("WARNING", "target", "A call was turned away.")
     NO_TOKEN = ("INFO", "limits", "A request found no token.")
+    ABANDONED = ("WARNING", "calls", "A caller was gone before its answer.")
+    WITHDRAWN = ("WARNING", "target", "A call was withdrawn.")
 
     @property
     def explains_failure(self) -> bool:
@@ -82,7 +84,34 @@
     lent_parts: float
 
 
-Detail = AttemptDetail | RefusalDetail | TurnAwayDetail | TokenDetail
+class DepartureDetail(msgspec.Struct, frozen=True, kw_only=True):
+    """A request whose connection ended first, at the caller's node."""
+
+    id: str
+    took_ms: int
+
+
+class WithdrawalDetail(msgspec.Struct, frozen=True, kw_only=True):
+    """A call that nobody waits for any more, at the target's node.
+
+    ``held_ms`` counts from the call's arrival there. A call that ``goes_on`` must not
+    be repeated and runs to its end.
+    """
+
+    id: str
+    state: str
+    held_ms: int
+    goes_on: bool
+
+
+Detail = (
+    AttemptDetail
+    | RefusalDetail
+    | TurnAwayDetail
+    | TokenDetail
+    | DepartureDetail
+    | WithdrawalDetail
+)
 
 
 class Budget(Protocol):
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_metrics.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_metrics.py
@@ -45,6 +45,17 @@
             buckets=_SECONDS,
             registry=self.registry,
         )
+        self.withdrawn = Counter(
+            "endivebeam_withdrawn_calls",
+            "Calls to the local target that nobody waited for any more.",
+            registry=self.registry,
+        )
+        self.loop_lag = Histogram(
+            "endivebeam_loop_lag_seconds",
+            "How late the event loop ran a timer, sampled twice a second.",
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
         self.running = self._gauge("running_calls", "Calls at the local target.")
         self.waiting = self._gauge("waiting_calls", "Calls waiting for the target.")
         self.members = self._gauge("members", "Nodes known and not gone.")
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
@@ -40,10 +40,11 @@
 )
 
 from ._clock import read_clock
-from ._decisions import Decision, DecisionLog, TurnAwayDetail
+from ._decisions import Decision, DecisionLog, TurnAwayDetail, WithdrawalDetail
 from ._exchange import encode_call, judge_answer, match_answer
 from ._metrics import SidecarMetrics
 from ._settings import HeaderNames
+from ._slots import kind_of, make_slot
 
 # Connections that fail in a row before the target counts as unreachable.
 MAX_CONNECT_FAILURES = 2
@@ -146,31 +147,28 @@
         refusal = self._refuse_unfit(call)
         if refusal is not None:
             return refusal
-        now = read_clock()
-        slot = Slot(
-            rank=call.rank,
-            kind=_kind_of(call),
-            arrived_at=now,
-            objective_s=call.objective_ms / 1000,
-            deadline=now + call.budget_ms / 1000,
-        )
+        slot = make_slot(call, read_clock())
         try:
             await self._admit(slot)
         except BaseException:
             # The slot may have started in the turn in which the wait was cancelled.
             self._release(slot, answered=False)
+            self._note_withdrawal(call, slot, was_sent=False)
             raise
         if slot.state is not SlotState.RUNNING:
             self._release(slot, answered=False)
             if not self.record.takes_work:
                 return self._refuse(call, "target leaves", leaving=True)
             return self._refuse(call, "target is busy", leaving=False, pressure=1.0)
-        if call.semantics is Semantics.AT_MOST_ONCE:
-            # Work that cannot be repeated goes on when its caller leaves.
-            return await asyncio.shield(
-                self._tasks.spawn(self._run_admitted(call, slot))
-            )
-        return await self._run_admitted(call, slot)
+        try:
+            if call.semantics is Semantics.AT_MOST_ONCE:
+                # Work that cannot be repeated goes on when its caller leaves.
+                run = self._tasks.spawn(self._run_admitted(call, slot))
+                return await asyncio.shield(run)
+            return await self._run_admitted(call, slot)
+        except asyncio.CancelledError:
+            self._note_withdrawal(call, slot, was_sent=True)
+            raise
 
     async def close(self) -> None:
         """End the calls that are still at the target."""
@@ -299,7 +297,7 @@
         self, call: ForwardCall, reason: str, *, leaving: bool, pressure: float = 0.0
     ) -> ForwardReply:
         now = read_clock()
-        wait_s = self._intake.expected_wait_s(now, math.inf, _kind_of(call))
+        wait_s = self._intake.expected_wait_s(now, math.inf, kind_of(call))
 
         def make_detail() -> TurnAwayDetail:
             return TurnAwayDetail(
@@ -323,6 +321,21 @@
             leaving=leaving,
         )
 
+    def _note_withdrawal(
+        self, call: ForwardCall, slot: Slot, *, was_sent: bool
+    ) -> None:
+        self._metrics.withdrawn.inc()
+
+        def make_detail() -> WithdrawalDetail:
+            return WithdrawalDetail(
+                id=call.call_id,
+                state="running" if was_sent else "waiting",
+                held_ms=int((read_clock() - slot.arrived_at) * 1000),
+                goes_on=was_sent and call.semantics is Semantics.AT_MOST_ONCE,
+            )
+
+        self._decisions.note(Decision.WITHDRAWN, make_detail)
+
     def _unknown(self, call: ForwardCall, reason: str) -> ForwardReply:
         return self._describe_end(call, ForwardOutcome.UNKNOWN, reason)
 
@@ -368,12 +381,6 @@
         turn.set_result(None)
 
 
-def _kind_of(call: ForwardCall) -> Kind:
-    if call.internal:
-        return Kind(internal=True)
-    return Kind(internal=False, shed_order=call.shed_order)
-
-
 def _identity(announcement: Announcement) -> tuple[object, ...]:
     return (
         announcement.instance,
--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -235,6 +235,10 @@
                 await connection.send("/vans/x")
                 await started.wait()
             await wait_until(lambda: target.abandoned == 1)
+            values = fleet.nodes[entry].sidecar.metrics.registry.get_sample_value
+            assert values("endivebeam_requests_total", {"outcome": "abandoned"}) == 1
+            values = fleet.nodes[1].sidecar.metrics.registry.get_sample_value
+            assert values("endivebeam_withdrawn_calls_total") == 1
 
 
 class TestTargetsThatLeave:
--- a/packages/endivebeam-sidecar/tests/test_target.py
+++ b/packages/endivebeam-sidecar/tests/test_target.py
@@ -1,6 +1,7 @@
 """Admission to the target beside a node when calls are cancelled."""
 
 import asyncio
+import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -17,6 +18,7 @@
     plain_error_response,
 )
 from endivebeam_model import AccountId, Address, Semantics, ServiceName
+from endivebeam_sidecar import DecisionLog, LineBudget, read_clock
 from endivebeam_sidecar._decisions import make_silent_log
 from endivebeam_sidecar._metrics import SidecarMetrics
 from endivebeam_sidecar._settings import HeaderNames
@@ -63,7 +65,9 @@
 
 
 @asynccontextmanager
-async def run_target(gate: Gate, *, slots: int = 1) -> AsyncIterator[LocalTarget]:
+async def run_target(
+    gate: Gate, *, slots: int = 1, decisions: DecisionLog | None = None
+) -> AsyncIterator[LocalTarget]:
     server = PipelinedServer(
         handler=gate.target.answer,
         error_response=plain_error_response,
@@ -74,7 +78,7 @@
         headers=HeaderNames(),
         metrics=SidecarMetrics(),
         on_change=lambda: None,
-        decisions=make_silent_log(),
+        decisions=decisions or make_silent_log(),
     )
     target.announce(
         Announcement(
@@ -151,3 +155,35 @@
             reply = await target.run(make_call(1, budget_ms=30))
             assert reply.outcome is ForwardOutcome.UNKNOWN
             assert target.in_flight == 0
+
+
+class TestLogs:
+    async def test_withdrawn_calls_are_told_with_their_state(self):
+        # Nothing told which calls ended because nobody waited for them.
+        lines: list[bytes] = []
+        decisions = DecisionLog(
+            node_id="n1", budget=LineBudget(clock=read_clock), write=lines.append
+        )
+        gate = Gate()
+        async with run_target(gate, slots=3, decisions=decisions) as target:
+            calls = [
+                make_call(1),
+                make_call(2, Semantics.AT_MOST_ONCE),
+                make_call(3),
+            ]
+            tasks = []
+            for number, call in enumerate(calls, start=1):
+                tasks.append(asyncio.ensure_future(target.run(call)))
+                await wait_until(lambda n=number: target.in_flight == n)
+            await wait_until(lambda: len(gate.target.seen) == target.load.running)
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks)
+        found = {line["id"]: line for line in map(json.loads, lines)}
+        assert [
+            (found[c.call_id]["state"], found[c.call_id]["goes_on"]) for c in calls
+        ] == [
+            ("running", False),
+            ("running", True),
+            ("waiting", False),
+        ]
