Send configurations between nodes in parts, compressed, to few nodes at once

Cause: a node that has a new configuration gave all of it (314 KB for 1,600 routes) to every node that asked, and asks were repeated each half second and given up after 0.6 s while their answers were still queued. The links were full of copies that nobody waited for; calls and the news of their cancellation waited behind them. Class: bulk without a bound on a link that carries small urgent messages.

Ruled out by logs: a loop that is held up (no lag above 0.13 s), swallowed cancellations (no attempt after a departure), paused connections (none).

Change: the receiver asks for one part of 16 KB after the other, a node serves four at once and names others that have it; nobody gets a version unasked. Documents are compressed (314 KB to 55 KB). An older version is given no evidence of age.

Why it works: at most 64 KB of configurations are on their way from a node. The test got 13.5 s of a link of 10 Mbit/s before; its bound is 0.5 s.

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
@@ -20,6 +20,7 @@
     FleetConfig,
     RequestLimits,
     RouteRule,
+    UnreadableConfigError,
     decode_config,
     digest_key,
     encode_config,
@@ -32,6 +33,7 @@
 from ._repeats import Level, RepeatBudget
 from ._splits import SplitCursor
 from ._target_state import Announcement, TargetPhase, TargetRecord
+from ._transfers import Assembly, TransferSlots
 from ._waiting import Kind, Slot, SlotState
 from ._wallets import AllowanceBorrower
 
@@ -41,6 +43,7 @@
     "AllowanceBorrower",
     "AllowanceHolder",
     "Announcement",
+    "Assembly",
     "CallPressure",
     "CallingKinds",
     "ConfigIndex",
@@ -63,6 +66,8 @@
     "TargetRecord",
     "TokenNeed",
     "Tolerance",
+    "TransferSlots",
+    "UnreadableConfigError",
     "decode_config",
     "digest_key",
     "encode_config",
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_config.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_config.py
@@ -1,11 +1,17 @@
 """One version of the fleet's configuration and the look-ups that a call needs."""
 
+import zlib
 from hashlib import sha256
 
 import msgspec
 
 from endivebeam_model import AccountId, ConfigVersion, KeyDigest, Semantics, ServiceName
 
+# Largest configuration that a node takes from another one, before compression.
+MAX_CONFIG_BYTES = 16 << 20
+# The least effort saves most of the bytes.
+COMPRESSION_LEVEL = 1
+
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -69,17 +75,28 @@
     limits: RequestLimits = RequestLimits()
 
 
+class UnreadableConfigError(Exception):
+    """The bytes that another node passed on are not a configuration."""
+
+
 def encode_config(config: FleetConfig) -> bytes:
-    """Return the bytes in which nodes pass a configuration on."""
-    return _encoder.encode(config)
+    """Return the compressed bytes in which nodes pass a configuration on."""
+    return zlib.compress(_encoder.encode(config), COMPRESSION_LEVEL)
 
 
 def decode_config(data: bytes) -> FleetConfig:
     """Return a configuration that another node passed on.
 
-    Raises ``msgspec.DecodeError`` or ``msgspec.ValidationError``.
+    Raises ``UnreadableConfigError``.
     """
-    return msgspec.msgpack.decode(data, type=FleetConfig)
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(data, MAX_CONFIG_BYTES)
+        if not inflater.eof:
+            raise UnreadableConfigError("it is cut short or too large")
+        return msgspec.msgpack.decode(plain, type=FleetConfig)
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise UnreadableConfigError(str(error)) from error
 
 
 def digest_key(key: str) -> KeyDigest:
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -27,6 +27,7 @@
 from endivebeam_store import ConfigLog, HttpObjects, HttpTable
 from endivebeam_wire import (
     PROTOCOL_VERSION,
+    AskConfigPart,
     AskEntries,
     AskFleetState,
     AskGrant,
@@ -301,7 +302,7 @@
                 return await self.rates.answer(request)
             case SendCounts():
                 return self.operations.receive_counts(request)
-            case ForwardCall() | AskFleetState() | LendAllowances():
+            case ForwardCall() | AskFleetState() | AskConfigPart() | LendAllowances():
                 # Sidecar nodes form fleets of their own.
                 await stream.close()
                 raise StreamLostError("the peer is a node of another kind")
--- /dev/null
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_spread.py
@@ -0,0 +1,158 @@
+"""Transfer of the configuration between nodes, in parts that the receiver asks for.
+
+One part of a transfer is on its way at a time, and a node serves few transfers at
+once, so that calls on the same links are hardly delayed. A node that is busy names
+others that have the configuration already.
+"""
+
+import random
+from collections.abc import Callable
+
+import anyio
+from loguru import logger
+
+from endivebeam_fleet import (
+    Assembly,
+    TransferSlots,
+    UnreadableConfigError,
+    decode_config,
+    encode_config,
+)
+from endivebeam_model import ConfigVersion, Member, NodeId
+from endivebeam_wire import CONFIG_PART_BYTES, AskConfigPart, ConfigPart
+
+from ._clock import read_clock
+from ._links import LinkLostError, LinkNotOpenError, Links
+from ._state import FleetKnowledge
+
+PART_TIMEOUT_S = 1.0
+# Time after which a node asks again when it got nothing.
+RETRY_MIN_S = 0.02
+RETRY_MAX_S = 0.06
+
+
+class ConfigSpread:
+    """Gets newer configurations from peers and gives peers this node's one.
+
+    ``on_adopted`` is called with the source after a configuration was adopted.
+    """
+
+    def __init__(
+        self,
+        *,
+        knowledge: FleetKnowledge,
+        links: Links,
+        on_adopted: Callable[[NodeId], None],
+    ) -> None:
+        self._knowledge = knowledge
+        self._links = links
+        self._on_adopted = on_adopted
+        self._slots = TransferSlots()
+        self._sources: dict[NodeId, ConfigVersion] = {}
+        self._heard_newer = anyio.Event()
+        self._encoded: tuple[int, bytes] = (0, b"")
+
+    def hear(self, node_id: NodeId, version: ConfigVersion) -> None:
+        """Note that a node has a version, which is fetched if it is newer."""
+        if version > self._knowledge.config_version:
+            self._sources[node_id] = version
+            self._heard_newer.set()
+
+    def answer(self, node_id: NodeId, ask: AskConfigPart) -> ConfigPart:
+        """Return the next part of this node's configuration."""
+        version = ConfigVersion(self._knowledge.config_version)
+        if not version or not self._slots.admit(node_id, read_clock()):
+            return ConfigPart(
+                request_id=ask.request_id,
+                version=version,
+                offset=0,
+                total_bytes=0,
+                is_busy=True,
+                holders=self._slots.holders(version),
+            )
+        data = self._encode()
+        follows = ask.version == version and 0 <= ask.offset < len(data)
+        offset = ask.offset if follows else 0
+        end = offset + CONFIG_PART_BYTES
+        if end >= len(data):
+            self._slots.finish(node_id, version)
+        return ConfigPart(
+            request_id=ask.request_id,
+            version=version,
+            offset=offset,
+            total_bytes=len(data),
+            data=data[offset:end],
+        )
+
+    async def run(self) -> None:
+        """Fetch what is newer until cancelled."""
+        while True:
+            await self._heard_newer.wait()
+            self._heard_newer = anyio.Event()
+            while (source := self._pick()) is not None:
+                if not await self._fetch(source):
+                    await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
+
+    def _pick(self) -> Member | None:
+        """Return a node that has a newer version, one nearby if there is any."""
+        newest = self._knowledge.config_version
+        self._sources = {n: v for n, v in self._sources.items() if v > newest}
+        known = [self._knowledge.directory.find(n) for n in self._sources]
+        members = [member for member in known if member is not None]
+        domain = self._knowledge.own.domain
+        near = [member for member in members if member.domain == domain]
+        return random.choice(near or members) if members else None
+
+    async def _fetch(self, source: Member) -> bool:
+        """Get the configuration of a node; return whether a newer one is in force."""
+        assembly = Assembly()
+        data = None
+        try:
+            while data is None:
+                part = await self._ask(source, assembly)
+                if part.is_busy:
+                    for node_id in part.holders:
+                        self.hear(node_id, part.version)
+                    return False
+                data = assembly.add(
+                    part.version,
+                    offset=part.offset,
+                    total_bytes=part.total_bytes,
+                    data=part.data,
+                )
+            config = decode_config(data)
+        except (
+            LinkNotOpenError,
+            LinkLostError,
+            TimeoutError,
+            ValueError,
+            UnreadableConfigError,
+        ) as error:
+            self._sources.pop(source.node_id, None)
+            logger.bind(peer=source.node_id, reason=repr(error)).warning(
+                "config: A version could not be fetched from a peer."
+            )
+            return False
+        adopted = self._knowledge.adopt_config(config, source="peer")
+        if adopted:
+            self._on_adopted(source.node_id)
+        return adopted
+
+    async def _ask(self, source: Member, assembly: Assembly) -> ConfigPart:
+        def make_request(request_id: int) -> AskConfigPart:
+            return AskConfigPart(
+                request_id=request_id, version=assembly.version, offset=assembly.offset
+            )
+
+        reply = await self._links.ask(source, make_request, timeout_s=PART_TIMEOUT_S)
+        assert isinstance(reply, ConfigPart)
+        return reply
+
+    def _encode(self) -> bytes:
+        index = self._knowledge.index
+        assert index is not None
+        version, data = self._encoded
+        if version != index.config.version:
+            data = encode_config(index.config)
+            self._encoded = (index.config.version, data)
+        return data
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -24,6 +24,7 @@
 from endivebeam_routing import Router
 from endivebeam_wire import (
     PROTOCOL_VERSION,
+    AskConfigPart,
     AskFleetState,
     ForwardCall,
     Heartbeat,
@@ -215,6 +216,7 @@
             self.is_listening = True
             for loop in (
                 self._gossip.run,
+                self._gossip.spread.run,
                 self._store_sync.run,
                 self._allowances.run,
                 self._probe_lost,
@@ -302,6 +304,8 @@
                 return await self._target.run_safely(request)
             case AskFleetState():
                 return self._gossip.answer(node_id, request)
+            case AskConfigPart():
+                return self._gossip.spread.answer(node_id, request)
             case LendAllowances():
                 return self._allowances.hold(node_id, request)
             case _:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
@@ -1,4 +1,4 @@
-"""Exchange of configuration, its age and member records between nodes.
+"""Exchange of member records, and of the configuration's version and age.
 
 A node that does not read the store itself, that the store turns away or that has just
 restarted, gets from its peers what they know. Each exchange is a question and its
@@ -9,14 +9,13 @@
 import random
 
 import anyio
-import msgspec
 from loguru import logger
 
-from endivebeam_fleet import decode_config, encode_config
 from endivebeam_model import ConfigVersion, Member, NodeId
 from endivebeam_wire import AskFleetState, FleetState
 
 from ._clock import read_clock
+from ._config_spread import ConfigSpread
 from ._links import LinkLostError, LinkNotOpenError, Links
 from ._reach import Reach
 from ._state import FleetKnowledge
@@ -28,6 +27,8 @@
 MAX_TOLD = 64
 # Part of the exchanges that go to any node instead of one that reads the store.
 RANDOM_PART = 0.3
+# Evidence that is older than this is as good as none.
+MAX_AGE_S = 3600.0
 # Part of the exchanges with any node that may go to one that is out of reach.
 LOST_PART = 0.1
 
@@ -47,10 +48,12 @@
         self._links = links
         self._reach = reach
         self._watchers = watchers
-        self._encoded: tuple[int, bytes] = (0, b"")
         self._told = anyio.Event()
-        self._newer_at: NodeId | None = None
-        self._heard_newer = anyio.Event()
+        self._next: NodeId | None = None
+        self._asks_next = anyio.Event()
+        self.spread = ConfigSpread(
+            knowledge=knowledge, links=links, on_adopted=self._ask_soon
+        )
 
     async def run(self) -> None:
         """Exchange with peers until cancelled."""
@@ -60,10 +63,10 @@
                 member = self._pick()
                 if member is not None:
                     tasks.start_soon(self._exchange, member)
-                self._newer_at = None
+                self._next = None
                 with anyio.move_on_after(PERIOD_S * random.uniform(0.8, 1.2)):
-                    await self._heard_newer.wait()
-                self._heard_newer = anyio.Event()
+                    await self._asks_next.wait()
+                self._asks_next = anyio.Event()
 
     def tell_soon(self) -> None:
         """Tell peers of a change of this node's record or configuration."""
@@ -82,10 +85,7 @@
             self._knowledge.adopt_member(member)
         knowledge = self._knowledge
         version = knowledge.config_version
-        if ask.config_version > version:
-            # The next exchange, with the node that knows more, begins at once.
-            self._newer_at = node_id
-            self._heard_newer.set()
+        self.spread.hear(node_id, ask.config_version)
         digest = knowledge.directory.digest()
         members: list[Member] = []
         if ask.versions:
@@ -95,16 +95,25 @@
                 known = knowledge.directory.find(member.node_id)
                 if known is not None and known != member:
                     members.append(known)
-        age_s = knowledge.freshness.age_s(read_clock())
         return FleetState(
             request_id=ask.request_id,
             config_version=ConfigVersion(version),
-            config_age_ms=int(age_s * 1000) + 1 if age_s < 3600 else -1,
+            config_age_ms=self._config_age_ms()
+            if version == ask.config_version
+            else -1,
             directory_digest=digest,
-            config=self._encode() if version > ask.config_version else b"",
             members=tuple(members),
         )
 
+    def _config_age_ms(self) -> int:
+        age_s = self._knowledge.freshness.age_s(read_clock())
+        return int(age_s * 1000) + 1 if age_s < MAX_AGE_S else -1
+
+    def _ask_soon(self, node_id: NodeId) -> None:
+        """Begin an exchange with a node at once, for the evidence that it has."""
+        self._next = node_id
+        self._asks_next.set()
+
     async def _tell(self) -> None:
         while True:
             await self._told.wait()
@@ -113,8 +122,8 @@
 
     def _pick(self) -> Member | None:
         """Return the next node to ask: mostly one that reads the store."""
-        if self._newer_at is not None:
-            return self._knowledge.directory.find(self._newer_at)
+        if self._next is not None:
+            return self._knowledge.directory.find(self._next)
         watchers = self._watchers.others()
         asks_any = self._watchers.includes_own() or random.random() < RANDOM_PART
         if watchers and not asks_any:
@@ -157,34 +166,17 @@
 
         reply = await self._links.ask(member, make_request)
         assert isinstance(reply, FleetState)
-        self._adopt(reply, asked_at)
+        self._adopt(member.node_id, reply, asked_at)
         return reply.directory_digest
 
-    def _adopt(self, state: FleetState, asked_at: float) -> None:
+    def _adopt(self, node_id: NodeId, state: FleetState, asked_at: float) -> None:
         knowledge = self._knowledge
         for member in state.members:
             knowledge.adopt_member(member)
-        if state.config:
-            try:
-                config = decode_config(state.config)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
-                logger.bind(reason=str(error)).warning(
-                    "config: A peer's configuration cannot be read."
-                )
-                return
-            knowledge.adopt_config(config, source="peer")
+        self.spread.hear(node_id, state.config_version)
         if state.config_age_ms >= 0 and (
-            state.config_version >= knowledge.config_version
+            state.config_version == knowledge.config_version
         ):
             knowledge.freshness.note_peer(
                 asked_at=asked_at, age_s=state.config_age_ms / 1000
             )
-
-    def _encode(self) -> bytes:
-        index = self._knowledge.index
-        assert index is not None
-        version, data = self._encoded
-        if version != index.config.version:
-            data = encode_config(index.config)
-            self._encoded = (index.config.version, data)
-        return data
--- a/packages/endivebeam-sidecar/tests/test_config_spread.py
+++ b/packages/endivebeam-sidecar/tests/test_config_spread.py
@@ -12,7 +12,10 @@
 from endivebeam_sidecar import Sidecar
 from endivebeam_wire import (
     PROTOCOL_VERSION,
+    AskConfigPart,
     AskFleetState,
+    ConfigPart,
+    FleetState,
     FrameReader,
     Heartbeat,
     HeartbeatEcho,
@@ -22,7 +25,7 @@
     encode_frame,
 )
 
-from ._fleet import FakeStore, make_config, make_route, run_fleet
+from ._fleet import FakeStore, make_config, make_route, run_fleet, wait_until
 
 pytestmark = pytest.mark.anyio
 NARROW_LINK_BYTES_PER_S = 10_000_000 / 8
@@ -87,6 +90,10 @@
     return peers
 
 
+def is_part(message: Message) -> bool:
+    return isinstance(message, ConfigPart) and not message.is_busy
+
+
 async def ask_all(peers: list[RawPeer], *requests: Request) -> float:
     """Let all peers ask at once; return how long a narrow link takes to answer."""
     before = sum(peer.received_bytes for peer in peers)
@@ -111,3 +118,45 @@
                 request_id=1, config_version=ConfigVersion(1), directory_digest=0
             )
             assert await ask_all(peers, ask) < DEPARTURE_S
+            part = AskConfigPart(request_id=2, version=ConfigVersion(0), offset=0)
+            assert await ask_all(peers, part) < DEPARTURE_S
+            served = [p for p in peers if any(is_part(m) for m in p.received)]
+            assert 0 < len(served) < PEERS
+
+
+class TestSpreading:
+    async def test_large_configuration_reaches_all_nodes_that_do_not_read_the_store(
+        self,
+    ):
+        # Three nodes read the store; the others have only their peers.
+        store = FakeStore()
+        async with run_fleet(("stock",) * 8, store=store) as fleet:
+            for version in range(2, 6):
+                store.put_config(make_large_config(version))
+                for node in fleet.nodes:
+                    await wait_until(
+                        lambda n=node, v=version: n.sidecar.config_version == v
+                    )
+
+    async def test_node_that_was_told_of_a_version_gets_it_from_a_peer(self):
+        store = FakeStore()
+        async with run_fleet(("stock", "stock"), store=store) as fleet:
+            cut_off, other = fleet.nodes
+            store.cut_off.add(cut_off.sidecar.settings.node_id)
+            store.put_config(make_large_config(2))
+            await wait_until(lambda: cut_off.sidecar.config_version == 2)
+            # The evidence that this is the newest version came with it.
+            await wait_until(lambda: cut_off.sidecar.config_age_s < 2.0)
+            assert other.sidecar.config_version == 2
+
+    async def test_newer_version_elsewhere_is_no_evidence_for_the_own_one(self):
+        # A node that trusted its keys by a peer's newer version used withdrawn ones.
+        async with run_fleet(("stock",)) as fleet, AsyncExitStack() as stack:
+            (peer,) = await connect_peers(stack, fleet.nodes[0].sidecar, 1)
+            ask = AskFleetState(
+                request_id=1, config_version=ConfigVersion(0), directory_digest=0
+            )
+            await peer.ask(ask)
+            (state,) = [m for m in peer.received if isinstance(m, FleetState)]
+            assert state.config_version == 1
+            assert state.config_age_ms == -1
--- a/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
@@ -43,8 +43,11 @@
     ShareTaken,
 )
 from ._sidecar_messages import (
+    CONFIG_PART_BYTES,
     AllowanceTokens,
+    AskConfigPart,
     AskFleetState,
+    ConfigPart,
     FleetState,
     ForwardCall,
     ForwardOutcome,
@@ -57,12 +60,14 @@
 from ._waiters import StreamFullError, StreamLostError
 
 __all__ = [
+    "CONFIG_PART_BYTES",
     "MAX_BODY_BYTES",
     "MAX_FRAME_BYTES",
     "PROTOCOL_VERSION",
     "AllowanceTokens",
     "Answer",
     "AnswerNode",
+    "AskConfigPart",
     "AskEntries",
     "AskFleetState",
     "AskGrant",
@@ -73,6 +78,7 @@
     "CallRefused",
     "CallRequest",
     "CancelCall",
+    "ConfigPart",
     "CountsKept",
     "DigestReply",
     "DigestRequest",
--- a/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
@@ -39,7 +39,9 @@
 )
 from ._sidecar_messages import (
     AllowanceTokens,
+    AskConfigPart,
     AskFleetState,
+    ConfigPart,
     FleetState,
     ForwardCall,
     ForwardReply,
@@ -61,6 +63,7 @@
     | SendCounts
     | ForwardCall
     | AskFleetState
+    | AskConfigPart
     | LendAllowances
 )
 Reply = (
@@ -79,6 +82,7 @@
     | CountsKept
     | ForwardReply
     | FleetState
+    | ConfigPart
     | AllowanceTokens
 )
 Message = Hello | CancelCall | Request | Reply
--- a/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
@@ -17,7 +17,9 @@
 from ._base import Body, Headers, PathText, PeerMessage, ShortText
 
 RecordOrder = tuple[int, int]
-ConfigBytes = Annotated[bytes, msgspec.Meta(max_length=1 << 20)]
+CONFIG_PART_BYTES = 16 << 10
+ConfigPartBytes = Annotated[bytes, msgspec.Meta(max_length=CONFIG_PART_BYTES)]
+MAX_HOLDERS = 8
 
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -106,17 +108,45 @@
     """Answers with what is newer here.
 
     ``config_age_ms`` is the age of the evidence that ``config_version`` is the
-    newest, -1 without evidence. ``config`` is empty unless it is newer.
+    newest, -1 without evidence or when the asking node has an older version.
     """
 
     request_id: int
     config_version: ConfigVersion
     config_age_ms: int
     directory_digest: int
-    config: ConfigBytes = b""
     members: tuple[Member, ...] = ()
 
 
+class AskConfigPart(PeerMessage, frozen=True, kw_only=True, tag=66):
+    """Asks for a part of the configuration that the other node has.
+
+    ``version`` is that of the parts received so far, and ``offset`` their length; a
+    transfer begins with an offset of 0.
+    """
+
+    request_id: int
+    version: ConfigVersion
+    offset: int
+
+
+class ConfigPart(PeerMessage, frozen=True, kw_only=True, tag=67):
+    """A part of an encoded configuration of ``total_bytes``.
+
+    The part begins at ``offset``, which is 0 when the version asked for is not the
+    newest any more. A node that serves too many others ``is_busy``, sends no part and
+    names nodes that got the version lately.
+    """
+
+    request_id: int
+    version: ConfigVersion
+    offset: int
+    total_bytes: int
+    data: ConfigPartBytes = b""
+    is_busy: bool = False
+    holders: Annotated[tuple[NodeId, ...], msgspec.Meta(max_length=MAX_HOLDERS)] = ()
+
+
 class LendAllowances(PeerMessage, frozen=True, kw_only=True, tag=64):
     """Lends this node's parts of all rates and asks for tokens.
 
