See the end of a connection whose caller has many open requests

Callers saw: work went on for a caller that had sent 32 requests on one connection and left.

Change: up to 512 further requests are read and wait without a handler; the connection is paused only beyond them. Handlers at a time stay bounded by 32, also when many requests arrive in one piece.

--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -22,7 +22,12 @@
 from ._tasks import TaskSet
 from ._transport import TcpListener, TcpStream
 
+# Requests of one connection that are handled at the same time.
 MAX_OPEN_EXCHANGES = 32
+# Requests that wait behind them. Only beyond these is the connection not read, since
+# the end of a connection that is not read cannot be seen.
+MAX_WAITING_EXCHANGES = 512
+MAX_WAITING_BYTES = 256 << 10
 SEND_TIMEOUT_S = 20.0
 BODY_TIMEOUT_S = 20.0
 # A connection that is closed with bytes unread is reset, which may destroy the
@@ -95,6 +100,9 @@
         self._on_closed = on_closed
         self._parser = RequestParser(max_body_bytes=limits.max_body_bytes)
         self._open: deque[Exchange] = deque()
+        # The last ones of the open exchanges, whose handlers did not start yet.
+        self._waiting: deque[Exchange] = deque()
+        self._waiting_bytes = 0
         self._phase = _Phase.OPEN
         self._since = time.monotonic()
         self._error: HttpError | None = None
@@ -164,19 +172,37 @@
         for request in requests:
             exchange = Exchange(request)
             self._open.append(exchange)
-            exchange.task = self._tasks.spawn(self._handle(exchange))
+            self._waiting.append(exchange)
+            self._waiting_bytes += len(request.body)
             if not request.keep_alive:
                 self._phase = _Phase.ENDING
                 break
         if self._parser.expects_continue and not self._open:
             self._parser.expects_continue = False
             self._send(CONTINUE)
-        if len(self._open) >= MAX_OPEN_EXCHANGES and not self._paused:
+        self._start_waiting()
+
+    def _start_waiting(self) -> None:
+        """Start the handlers that there is room for; read on unless many wait."""
+        while self._waiting and (
+            len(self._open) - len(self._waiting) < MAX_OPEN_EXCHANGES
+        ):
+            exchange = self._waiting.popleft()
+            self._waiting_bytes -= len(exchange.request.body)
+            exchange.task = self._tasks.spawn(self._handle(exchange))
+        full = (
+            len(self._waiting) > MAX_WAITING_EXCHANGES
+            or self._waiting_bytes > MAX_WAITING_BYTES
+        )
+        if full and not self._paused:
             self._paused = True
             self._stream.pause()
             logger.bind(open=len(self._open)).info(
                 "calls: A caller has too many open requests; reading is paused."
             )
+        elif self._paused and not full:
+            self._paused = False
+            self._stream.resume()
 
     def _end(self, error: Exception | None) -> None:
         # A caller that closed its side has left; its answers have no reader any more.
@@ -200,9 +226,7 @@
             exchange = self._open.popleft()
             if not self._send_response(exchange):
                 return
-        if self._paused and len(self._open) < MAX_OPEN_EXCHANGES:
-            self._paused = False
-            self._stream.resume()
+        self._start_waiting()
         if self._open or self._draining:
             return
         if self._error is not None:
