Go on watching a caller of the first product after it sent more bytes

The same class at its HTTP server: the watching read ended with the first bytes behind a request, so a caller that pipelined and left was not noticed. The watch now reads on, up to 256 KiB.

--- a/packages/endivebeam-http/src/endivebeam_http/_server.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_server.py
@@ -26,6 +26,8 @@
 CLOSE_TIMEOUT_S = 1.0
 # A caller that leaves within this time is noticed when its answer is sent.
 WATCH_AFTER_S = 0.1
+# Bytes of pipelined requests that are read while a request is handled.
+MAX_EARLY_BYTES = 256 << 10
 BODILESS_STATUS = frozenset({204, 304})
 
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -103,7 +105,9 @@
         self._timed_out = False
         self._draining = False
         self._closing = False
+        # Set when a watching read brought something or ended.
         self._watched: anyio.Event | None = None
+        self._watching = False
         self._early = b""
 
     async def run(self) -> None:
@@ -138,7 +142,8 @@
         if self._phase is Phase.HANDLING:
             if age_s >= WATCH_AFTER_S and self._watched is None:
                 self._watched = anyio.Event()
-                tasks.start_soon(self._watch, self._watched)
+                self._watching = True
+                tasks.start_soon(self._watch)
         elif age_s >= _PHASE_LIMITS_S[self._phase]:
             self._timed_out = self._phase is Phase.RECEIVING
             self._scope.cancel()
@@ -183,24 +188,34 @@
         data = encode_response(response, method=request.method, keep_alive=keep_alive)
         return await self._send(data) and keep_alive
 
-    async def _watch(self, done: anyio.Event) -> None:
-        # Reads while the handler runs. An end of the stream cancels the handler;
-        # bytes of a pipelined request are kept for the next receive.
+    async def _watch(self) -> None:
+        # Reads while a handler runs. An end of the stream cancels the handler; bytes
+        # of pipelined requests are kept for the next receive.
         try:
-            self._early = await self._receive_bytes()
-            if not self._early:
-                self._scope.cancel()
+            while len(self._early) < MAX_EARLY_BYTES:
+                data = await self._receive_bytes()
+                if not data:
+                    self._scope.cancel()
+                    return
+                self._early += data
+                if self._phase is not Phase.HANDLING:
+                    return
+                self._note_watched()
         finally:
-            done.set()
+            self._watching = False
+            self._note_watched()
+
+    def _note_watched(self) -> None:
+        if self._watched is not None:
+            self._watched.set()
 
     async def _receive(self) -> bytes:
         if self._watched is None:
             return await self._receive_bytes()
         # Only one task may read, so the watching read is awaited instead.
         await self._watched.wait()
-        self._watched = None
-        data = self._early
-        self._early = b""
+        self._watched = anyio.Event() if self._watching else None
+        data, self._early = self._early, b""
         return data
 
     async def _receive_bytes(self) -> bytes:
