Keep a cancellation when the stream to the peer fails at the same time

The request then counted as lost and could be repeated for a caller that had left; a peer that took no bytes was never told. Now the cancellation stands, and a peer that cannot be told loses the stream.

--- a/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
@@ -133,8 +133,7 @@
         try:
             return await self._waiters.wait(request.request_id, waiter, timeout_s)
         except (asyncio.CancelledError, TimeoutError):
-            if not self.closed:
-                self._send(CancelCall(request_id=request.request_id))
+            self._send_cancel(request.request_id)
             raise
 
     def close(self) -> None:
@@ -222,6 +221,18 @@
         finally:
             self._serving.pop(request.request_id, None)
 
+    def _send_cancel(self, request_id: int) -> None:
+        # An error must not replace the cancellation of the task that waits. A peer
+        # that cannot be told has to lose the stream, which ends its work as well.
+        if self.closed:
+            return
+        try:
+            self._send(CancelCall(request_id=request_id))
+        except StreamFullError:
+            self.close()
+        except StreamLostError:
+            return
+
     def _send(self, message: Message) -> None:
         frame = encode_frame(message)
         if self._transport.unsent_bytes + len(frame) > MAX_UNSENT_BYTES:
--- a/packages/endivebeam-wire/tests/test_direct.py
+++ b/packages/endivebeam-wire/tests/test_direct.py
@@ -179,6 +179,35 @@
         assert not side.stream.waits
 
 
+class TestCancellation:
+    async def test_is_not_replaced_by_an_error_of_the_stream(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against a request that is repeated for a caller that has left."""
+        side = await Side().greet()
+        asked = side.ask()
+        await settle()
+
+        def fail(item: bytes) -> bool:
+            raise OSError("the connection ends just now")
+
+        monkeypatch.setattr(side.wire, "send_now", fail)
+        asked.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await asked
+
+    async def test_that_cannot_be_told_ends_the_stream(self):
+        """Guards against work that goes on at a peer that takes no bytes."""
+        side = await Side().greet()
+        asked = side.ask()
+        await settle()
+        side.wire.unsent_bytes = direct.MAX_UNSENT_BYTES
+        asked.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await asked
+        assert side.stream.closed
+
+
 class TestLoss:
     @pytest.mark.parametrize("how", ["end", "close", "garbage"])
     async def test_waiting_requests_fail_once_and_the_owner_is_told_once(
