Send nothing to a target once the caller has left

The same class at work that must not be repeated: the whole of it went on after its caller left, also the wait for a connection, so a call was sent by a connection that opened up to 1 s later. Only what was sent to the target goes on now. The test failed on both loops before; a call keeps the connections of the target's life in which it was admitted.

--- a/packages/endivebeam-http/src/endivebeam_http/__init__.py
+++ b/packages/endivebeam-http/src/endivebeam_http/__init__.py
@@ -26,7 +26,7 @@
 )
 from ._responses import ResponseQueue
 from ._server import Handler, ServerConnection, encode_response, plain_error_response
-from ._target_client import Connect, TargetPool, WrongAnswerError
+from ._target_client import Connect, TargetConnection, TargetPool, WrongAnswerError
 from ._tasks import TaskSet
 from ._transport import TcpListener, TcpStream, connect_stream, listen_tcp
 
@@ -52,6 +52,7 @@
     "ServerConnection",
     "ServerLimits",
     "SocketListener",
+    "TargetConnection",
     "TargetPool",
     "TaskSet",
     "TcpListener",
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
@@ -19,18 +19,15 @@
     rate_wait,
 )
 from endivebeam_http import (
-    Connect,
     ConnectionLostError,
     HttpError,
     NotSentError,
     Response,
-    TargetPool,
     TaskSet,
     WrongAnswerError,
-    connect_stream,
     strip_hop_by_hop,
 )
-from endivebeam_model import Address, Semantics
+from endivebeam_model import Semantics
 from endivebeam_wire import (
     ForwardCall,
     ForwardOutcome,
@@ -45,6 +42,7 @@
 from ._metrics import SidecarMetrics
 from ._settings import HeaderNames
 from ._slots import kind_of, make_slot
+from ._target_life import OpenedLine, TargetLife, begin_life, identify
 
 # Connections that fail in a row before the target counts as unreachable.
 MAX_CONNECT_FAILURES = 2
@@ -71,7 +69,7 @@
         self._on_change = on_change
         self._pressure = CallPressure(now=read_clock())
         self._intake = Intake(limit_of=self._pressure.limit)
-        self._pool: TargetPool | None = None
+        self._life: TargetLife | None = None
         self._waiters: dict[Slot, asyncio.Future[None]] = {}
         self._tasks = TaskSet()
         self._connect_failures = 0
@@ -120,13 +118,13 @@
             or before.born_ms != announcement.born_ms
             or (before.instance != announcement.instance)
         ):
-            self._pool = TargetPool(connect=_connector(announcement.address))
+            self._life = begin_life(announcement)
             self._connect_failures = 0
         self._intake.configure(
             slots=announcement.slots, cold_left_s=announcement.cold_left_s, now=now
         )
         self._pressure.configure(slots=announcement.slots)
-        if before is None or _identity(before) != _identity(announcement):
+        if before is None or identify(before) != identify(announcement):
             self._note_change(announcement)
 
     def leave(self, instance: str) -> None:
@@ -150,22 +148,24 @@
         slot = make_slot(call, read_clock())
         try:
             await self._admit(slot)
+            if slot.state is not SlotState.RUNNING:
+                return self._refuse_waiting(call, slot)
+            line = await self._connect(call, slot)
+        except NotSentError as error:
+            self._release(slot, answered=False)
+            self._note_unreachable(str(error))
+            return self._refuse(call, "target is unreachable", leaving=True)
         except BaseException:
             # The slot may have started in the turn in which the wait was cancelled.
             self._release(slot, answered=False)
             self._note_withdrawal(call, slot, was_sent=False)
             raise
-        if slot.state is not SlotState.RUNNING:
-            self._release(slot, answered=False)
-            if not self.record.takes_work:
-                return self._refuse(call, "target leaves", leaving=True)
-            return self._refuse(call, "target is busy", leaving=False, pressure=1.0)
+        work = self._run_admitted(call, slot, line)
         try:
             if call.semantics is Semantics.AT_MOST_ONCE:
                 # Work that cannot be repeated goes on when its caller leaves.
-                run = self._tasks.spawn(self._run_admitted(call, slot))
-                return await asyncio.shield(run)
-            return await self._run_admitted(call, slot)
+                return await asyncio.shield(self._tasks.spawn(work))
+            return await work
         except asyncio.CancelledError:
             self._note_withdrawal(call, slot, was_sent=True)
             raise
@@ -202,11 +202,24 @@
             timer.cancel()
             del self._waiters[slot]
 
-    async def _run_admitted(self, call: ForwardCall, slot: Slot) -> ForwardReply:
-        answered = False
+    async def _connect(self, call: ForwardCall, slot: Slot) -> OpenedLine:
+        """Return a connection for a call; raises ``NotSentError``."""
+        life = self._life
+        assert life is not None
         self._note_running(slot.kind)
+        connection = await life.pool.acquire(
+            careful=call.semantics is Semantics.AT_MOST_ONCE,
+            timeout_s=max(0.0, slot.deadline - read_clock()),
+        )
+        self._connect_failures = 0
+        return OpenedLine(life, connection)
+
+    async def _run_admitted(
+        self, call: ForwardCall, slot: Slot, line: OpenedLine
+    ) -> ForwardReply:
+        answered = False
         try:
-            reply = await self._send(call, slot)
+            reply = await self._send(call, slot, line)
             answered = reply.outcome is ForwardOutcome.ANSWERED
             pressure = self._rate_pressure(call, slot)
             return msgspec.structs.replace(reply, load=self._describe_load(pressure))
@@ -242,28 +255,17 @@
             round(pressure, 3),
         )
 
-    async def _send(self, call: ForwardCall, slot: Slot) -> ForwardReply:
-        announcement, pool = self.record.current, self._pool
-        assert announcement is not None
-        assert pool is not None
-        careful = call.semantics is Semantics.AT_MOST_ONCE
-        started = read_clock()
-        try:
-            connection = await pool.acquire(
-                careful=careful, timeout_s=max(0.0, slot.deadline - started)
-            )
-        except NotSentError as error:
-            self._note_unreachable(str(error))
-            return self._refuse(call, "target is unreachable", leaving=True)
-        self._connect_failures = 0
+    async def _send(
+        self, call: ForwardCall, slot: Slot, line: OpenedLine
+    ) -> ForwardReply:
         started = read_clock()
         left_s = max(0.0, slot.deadline - started)
         try:
-            response = await connection.exchange(
+            response = await line.connection.exchange(
                 encode_call(
                     call,
                     names=self._headers,
-                    instance=announcement.instance,
+                    instance=line.life.instance,
                     left_s=left_s,
                 ),
                 head_only=call.method == "HEAD",
@@ -274,7 +276,7 @@
             return self._unknown(call, "no answer within the time left")
         except (ConnectionLostError, HttpError, WrongAnswerError) as error:
             return self._unknown(call, str(error))
-        pool.release(connection)
+        line.life.pool.release(line.connection)
         self._metrics.target_latency.observe(read_clock() - started)
         return self._reply(call, response)
 
@@ -293,6 +295,12 @@
             body=response.body,
         )
 
+    def _refuse_waiting(self, call: ForwardCall, slot: Slot) -> ForwardReply:
+        self._release(slot, answered=False)
+        if not self.record.takes_work:
+            return self._refuse(call, "target leaves", leaving=True)
+        return self._refuse(call, "target is busy", leaving=False, pressure=1.0)
+
     def _refuse(
         self, call: ForwardCall, reason: str, *, leaving: bool, pressure: float = 0.0
     ) -> ForwardReply:
@@ -379,17 +387,3 @@
 def _wake(turn: "asyncio.Future[None]") -> None:
     if not turn.done():
         turn.set_result(None)
-
-
-def _identity(announcement: Announcement) -> tuple[object, ...]:
-    return (
-        announcement.instance,
-        announcement.born_ms,
-        announcement.phase,
-        announcement.slots,
-        announcement.service,
-    )
-
-
-def _connector(address: Address) -> Connect:
-    return lambda: connect_stream(address.host, address.port)
--- a/packages/endivebeam-sidecar/tests/test_target.py
+++ b/packages/endivebeam-sidecar/tests/test_target.py
@@ -14,11 +14,14 @@
     Request,
     Response,
     ServerLimits,
+    TcpStream,
+    connect_stream,
     listen_tcp,
     plain_error_response,
 )
 from endivebeam_model import AccountId, Address, Semantics, ServiceName
 from endivebeam_sidecar import DecisionLog, LineBudget, read_clock
+from endivebeam_sidecar import _target_life as life
 from endivebeam_sidecar._decisions import make_silent_log
 from endivebeam_sidecar._metrics import SidecarMetrics
 from endivebeam_sidecar._settings import HeaderNames
@@ -139,6 +142,32 @@
             await wait_until(lambda: target.in_flight == 0)
             assert gate.target.abandoned == 0
 
+    @pytest.mark.parametrize("semantics", list(Semantics))
+    async def test_nothing_is_sent_once_the_caller_has_left(
+        self, semantics: Semantics, monkeypatch: pytest.MonkeyPatch
+    ):
+        # Calls that must not be repeated were sent by connections that opened late.
+        connecting, opened = anyio.Event(), anyio.Event()
+
+        async def connect_late(host: str, port: int) -> TcpStream:
+            connecting.set()
+            await opened.wait()
+            return await connect_stream(host, port)
+
+        monkeypatch.setattr(life, "connect_stream", connect_late)
+        gate = Gate()
+        async with run_target(gate) as target:
+            task = asyncio.ensure_future(target.run(make_call(1, semantics)))
+            await connecting.wait()
+            task.cancel()
+            await asyncio.wait([task])
+            opened.set()
+            await wait_until(lambda: target.in_flight == 0)
+            gate.opened.set()
+            # The next call uses the target after whatever was sent before it.
+            await target.run(make_call(2))
+            assert [r.get(b"x-request-id") for r in gate.target.seen] == [b"call-2"]
+
     async def test_idempotent_work_ends_when_its_caller_leaves(self):
         gate = Gate()
         async with run_target(gate) as target:
