Answer the requests that come in one piece with a malformed one

Callers saw: requests in front of a malformed one in the same piece of bytes were dropped, and the refusal came in their place. The parser had them, but its error hid them.

--- a/packages/endivebeam-http/src/endivebeam_http/_parsers.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_parsers.py
@@ -110,7 +110,8 @@
     def feed(self, data: bytes) -> list[Request]:
         """Add bytes and return the requests that are complete.
 
-        Raises ``HttpError``; the connection must then be closed.
+        Raises ``HttpError``; the connection must then be closed. Requests that
+        were complete before the error are left for ``take_complete``.
         """
         try:
             self._parser.feed_data(data)
@@ -120,6 +121,10 @@
             ) from None
         except httptools.HttpParserError as error:
             raise translate_error(error) from None
+        return self.take_complete()
+
+    def take_complete(self) -> list[Request]:
+        """Return the requests that are complete and were not returned yet."""
         done = list(self._done)
         self._done.clear()
         return done
--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -165,10 +165,9 @@
             requests = self._parser.feed(data)
         except HttpError as error:
             # Requests before the malformed one are still answered.
+            requests = self._parser.take_complete()
             self._phase = _Phase.ENDING
             self._error = error
-            self._flush()
-            return
         for request in requests:
             exchange = Exchange(request)
             self._open.append(exchange)
@@ -177,10 +176,10 @@
             if not request.keep_alive:
                 self._phase = _Phase.ENDING
                 break
-        if self._parser.expects_continue and not self._open:
-            self._parser.expects_continue = False
-            self._send(CONTINUE)
-        self._start_waiting()
+        if self._open:
+            self._start_waiting()
+        else:
+            self._flush()
 
     def _start_waiting(self) -> None:
         """Start the handlers that there is room for; read on unless many wait."""
