Drop sources that have no newer configuration, and never ask oneself

Found in the last reading of the transfers: a node that had missed the last part of a version was named to itself as a holder, asked itself, and, being nearest, went on with that. Test of four useless sources; this case failed before. A source that does not answer holds up the next one for 0.5 s instead of 1 s.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_spread.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_spread.py
@@ -25,7 +25,8 @@
 from ._links import LinkLostError, LinkNotOpenError, Links
 from ._state import FleetKnowledge
 
-PART_TIMEOUT_S = 1.0
+# Several sources may be lost within the time in which a version has to be in force.
+PART_TIMEOUT_S = 0.5
 # Time after which a node asks again when it got nothing.
 RETRY_MIN_S = 0.02
 RETRY_MAX_S = 0.06
@@ -54,7 +55,8 @@
 
     def hear(self, node_id: NodeId, version: ConfigVersion) -> None:
         """Note that a node has a version, which is fetched if it is newer."""
-        if version > self._knowledge.config_version:
+        knowledge = self._knowledge
+        if version > knowledge.config_version and node_id != knowledge.own.node_id:
             self._sources[node_id] = version
             self._heard_newer.set()
 
@@ -110,6 +112,10 @@
         try:
             while data is None:
                 part = await self._ask(source, assembly)
+                if part.version <= self._knowledge.config_version:
+                    # The source was started again since it told of a newer version.
+                    self._sources.pop(source.node_id, None)
+                    return False
                 if part.is_busy:
                     for node_id in part.holders:
                         self.hear(node_id, part.version)
--- a/packages/endivebeam-sidecar/tests/test_config_spread.py
+++ b/packages/endivebeam-sidecar/tests/test_config_spread.py
@@ -2,14 +2,17 @@
 
 import random
 import string
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 
 import anyio
+import msgspec
 import pytest
 
-from endivebeam_fleet import FleetConfig
-from endivebeam_model import ConfigVersion, DomainName, NodeId
+from endivebeam_fleet import FleetConfig, encode_config
+from endivebeam_model import ConfigVersion, DomainName, Member, NodeId
 from endivebeam_sidecar import Sidecar
+from endivebeam_sidecar._config_spread import ConfigSpread
 from endivebeam_wire import (
     PROTOCOL_VERSION,
     AskConfigPart,
@@ -21,6 +24,7 @@
     HeartbeatEcho,
     Hello,
     Message,
+    Reply,
     Request,
     encode_frame,
 )
@@ -160,3 +164,68 @@
             (state,) = [m for m in peer.received if isinstance(m, FleetState)]
             assert state.config_version == 1
             assert state.config_age_ms == -1
+
+
+class ScriptedLinks:
+    """Links to nodes whose answers to all asks the test knows."""
+
+    def __init__(self, answers: dict[str, ConfigPart]) -> None:
+        self.answers = answers
+        self.asked: list[NodeId] = []
+
+    async def ask(
+        self,
+        member: Member,
+        make_request: Callable[[int], Request],
+        *,
+        timeout_s: float | None = None,
+    ) -> Reply:
+        await anyio.lowlevel.checkpoint()
+        self.asked.append(member.node_id)
+        return self.answers[member.node_id]
+
+
+def make_part(version: int, *, is_busy: bool = False, **more: object) -> ConfigPart:
+    data = b"" if is_busy else encode_config(make_config(version))
+    part = ConfigPart(
+        request_id=1,
+        version=ConfigVersion(version),
+        offset=0,
+        total_bytes=len(data),
+        data=data,
+        is_busy=is_busy,
+    )
+    return msgspec.structs.replace(part, **more)
+
+
+class TestSources:
+    @pytest.mark.parametrize(
+        "useless",
+        [
+            make_part(0, is_busy=True),
+            make_part(1),
+            make_part(2, is_busy=True, holders=(NodeId("node-0"),)),
+            make_part(2, total_bytes=1 << 30),
+        ],
+        ids=["restarted", "older", "names the asking node", "too large"],
+    )
+    async def test_useless_source_does_not_hold_up_another(self, useless: ConfigPart):
+        # A node that asked itself, or a source without the version, asked for ever.
+        async with run_fleet(("stock",)) as fleet:
+            knowledge = fleet.nodes[0].sidecar._knowledge
+            for name in ("node-1", "node-2"):
+                knowledge.adopt_member(
+                    msgspec.structs.replace(knowledge.own, node_id=NodeId(name))
+                )
+            links = ScriptedLinks({"node-1": useless, "node-2": make_part(2)})
+            spread = ConfigSpread(
+                knowledge=knowledge, links=links, on_adopted=lambda node_id: None
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(spread.run)
+                spread.hear(NodeId("node-1"), ConfigVersion(2))
+                await wait_until(lambda: "node-1" in links.asked)
+                spread.hear(NodeId("node-2"), ConfigVersion(2))
+                await wait_until(lambda: knowledge.config_version == 2)
+                assert "node-0" not in links.asked
+                tasks.cancel_scope.cancel()
