Pass header fields on encoded, and parse them with fewer function calls

Cause: each header field of a call was turned into an object seven times on its way (field, wire header, decoded, encoded, and back), and each look-up of a field went through all of them in Python.

The protocol between sidecar nodes has version 2.

--- a/packages/endivebeam-http/src/endivebeam_http/__init__.py
+++ b/packages/endivebeam-http/src/endivebeam_http/__init__.py
@@ -14,6 +14,7 @@
     HttpError,
     Request,
     Response,
+    encode_end_to_end,
     get_field,
     strip_hop_by_hop,
 )
@@ -64,6 +65,7 @@
     "TcpListener",
     "TcpStream",
     "connect_stream",
+    "encode_end_to_end",
     "encode_request",
     "encode_response",
     "get_field",
--- a/packages/endivebeam-http/src/endivebeam_http/_messages.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_messages.py
@@ -1,6 +1,7 @@
 """HTTP messages, size limits and errors."""
 
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -33,6 +34,10 @@
     value: bytes
 
 
+# ``Field`` without the cost of its keyword arguments, for parsers.
+make_field = partial(tuple.__new__, Field)
+
+
 class HttpError(Exception):
     """A message violates the protocol or exceeds a limit.
 
@@ -49,9 +54,28 @@
     """The peer closed the connection before the message was complete."""
 
 
+class _Message:
+    """Header fields with an index, which the first look-up creates."""
+
+    __slots__ = ("_index",)
+    fields: list[Field]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a field, or None."""
+        try:
+            return self._index.get(name)
+        except AttributeError:
+            # The first of several values is the last one that is stored.
+            self._index: dict[bytes, bytes] = dict(reversed(self.fields))
+            return self._index.get(name)
+
+
 @dataclass(slots=True, kw_only=True)
-class Request:
-    """A complete request; ``target`` is the path with its query."""
+class Request(_Message):
+    """A complete request; ``target`` is the path with its query.
+
+    ``fields`` may not change after the first look-up.
+    """
 
     method: str
     target: str
@@ -59,24 +83,21 @@
     body: bytes = b""
     keep_alive: bool = True
 
-    def get(self, name: bytes) -> bytes | None:
-        """Return the first value of a field, or None."""
-        return get_field(self.fields, name)
-
 
 @dataclass(slots=True, kw_only=True)
-class Response:
-    """A complete response."""
+class Response(_Message):
+    """A complete response.
+
+    ``encoded_fields`` has further fields, each with its line end, that are sent after
+    ``fields`` and that look-ups do not find.
+    """
 
     status: int
     fields: list[Field] = field(default_factory=list)
+    encoded_fields: bytes = b""
     body: bytes = b""
     keep_alive: bool = True
 
-    def get(self, name: bytes) -> bytes | None:
-        """Return the first value of a field, or None."""
-        return get_field(self.fields, name)
-
 
 def get_field(fields: list[Field], name: bytes) -> bytes | None:
     """Return the first value of a field, or None."""
@@ -93,9 +114,24 @@
 
     Fields that a ``Connection`` field names are hop-by-hop too.
     """
-    dropped = HOP_BY_HOP | also
-    named = [f.value for f in fields if f.name == b"connection"]
-    if named:
-        listed = b",".join(named).split(b",")
-        dropped = dropped | {name.strip().lower() for name in listed}
+    dropped = HOP_BY_HOP | also | _listed_by_connection(fields)
     return [f for f in fields if f.name not in dropped]
+
+
+def encode_end_to_end(fields: list[Field], *, dropped: frozenset[bytes]) -> bytes:
+    """Return the encoded fields, each with its line end, to be sent by another hop.
+
+    Leaves out the fields named in ``dropped``, which should contain ``HOP_BY_HOP``,
+    and those that a ``Connection`` field names.
+    """
+    listed = _listed_by_connection(fields)
+    if listed:
+        dropped = dropped | listed
+    return b"".join([b"%b: %b\r\n" % f for f in fields if f[0] not in dropped])
+
+
+def _listed_by_connection(fields: list[Field]) -> set[bytes]:
+    values = [value for name, value in fields if name == b"connection"]
+    if not values:
+        return set()
+    return {name.strip().lower() for name in b",".join(values).split(b",")}
--- a/packages/endivebeam-http/src/endivebeam_http/_parsers.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_parsers.py
@@ -1,18 +1,20 @@
 """Incremental parsers of requests and responses, based on ``httptools``."""
 
-from collections import deque
 from http import HTTPStatus
 from typing import Any
 
 import httptools
 
-from ._collectors import BodyCollector, FieldCollector
+from ._framing import check_header
 from ._messages import (
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
     MAX_TARGET_BYTES,
+    Field,
     HttpError,
     Request,
+    get_field,
+    make_field,
 )
 
 # Bytes that are parsed between two checks of the limits.
@@ -42,41 +44,59 @@
         self._body_status = body_status
         self._max_overhead_bytes = max_header_bytes + MAX_TARGET_BYTES
         self._overhead_bytes = 0
-        self._start_message()
+        self._fields: list[Field] = []
+        self._header_complete = False
+        self._body: bytes | bytearray = b""
 
     def _start_message(self) -> None:
-        self._fields = FieldCollector(max_bytes=self._max_header_bytes)
-        self._body = BodyCollector(
-            max_bytes=self._max_body_bytes, status=self._body_status
-        )
+        self._fields = []
+        self._header_complete = False
+        self._body = b""
 
     def _feed(self, parser: Any, data: bytes) -> None:
         """Pass bytes to the parser; raises its errors and ``HttpError``."""
-        if len(data) <= MAX_FEED_BYTES:
-            self._feed_part(parser, data)
-            return
-        view = memoryview(data)
+        view: bytes | memoryview = data
+        if len(data) > MAX_FEED_BYTES:
+            view = memoryview(data)
         for start in range(0, len(data), MAX_FEED_BYTES):
-            self._feed_part(parser, view[start : start + MAX_FEED_BYTES])
-
-    def _feed_part(self, parser: Any, data: bytes | memoryview) -> None:
-        self._overhead_bytes += len(data)
-        parser.feed_data(data)
-        if self._overhead_bytes > self._max_overhead_bytes:
-            raise self._make_overhead_error()
+            part = view[start : start + MAX_FEED_BYTES]
+            self._overhead_bytes += len(part)
+            parser.feed_data(part)
+            if self._overhead_bytes > self._max_overhead_bytes:
+                raise self._make_overhead_error()
 
     def _make_overhead_error(self) -> HttpError:
         return HttpError(HTTPStatus.BAD_REQUEST, "too many bytes outside of a body")
 
+    def _complete_header(self) -> None:
+        self._header_complete = True
+        check_header(
+            self._fields,
+            max_bytes=self._max_header_bytes,
+            received_bytes=self._overhead_bytes,
+        )
+
     def on_message_begin(self) -> None:
         self._start_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._fields.add(name, value)
+        # Trailer fields, which follow the body, are dropped: nothing that is decided
+        # from header fields may depend on them.
+        if not self._header_complete:
+            self._fields.append(make_field((name.lower(), value)))
 
     def on_body(self, data: bytes) -> None:
         self._overhead_bytes -= len(data)
-        self._body.add(data)
+        if len(self._body) + len(data) > self._max_body_bytes:
+            raise HttpError(
+                self._body_status, f"body exceeds {self._max_body_bytes} bytes"
+            )
+        if not self._body:
+            self._body = data
+            return
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += data
 
     def on_chunk_complete(self) -> None:
         self._overhead_bytes = max(0, self._overhead_bytes - CHUNK_FRAMING_BYTES)
@@ -112,10 +132,14 @@
         )
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
-        self._completed: deque[Request] = deque()
+        self._completed: list[Request] = []
         self.expects_continue = False
         self.started = False
-        self.has_headers = False
+
+    @property
+    def has_headers(self) -> bool:
+        """Whether the header of the current request is complete."""
+        return self._header_complete
 
     def feed(self, data: bytes) -> list[Request]:
         """Parse bytes and return the requests that they complete.
@@ -135,15 +159,13 @@
 
     def pop_complete(self) -> list[Request]:
         """Return and remove the complete requests that were not returned yet."""
-        done = list(self._completed)
-        self._completed.clear()
+        done, self._completed = self._completed, []
         return done
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
         self._target = b""
         self.started = True
-        self.has_headers = False
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -151,18 +173,18 @@
             raise HttpError(HTTPStatus.REQUEST_URI_TOO_LONG, "request target too long")
 
     def on_headers_complete(self) -> None:
-        self.has_headers = True
-        self._fields.complete()
+        self._complete_header()
         if self._parser.get_method() == b"CONNECT":
             raise HttpError(HTTPStatus.NOT_IMPLEMENTED, "CONNECT is not supported")
-        for name, value in self._fields.items:
-            if name == b"content-length" and int(value) > self._max_body_bytes:
-                raise HttpError(
-                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                    f"body exceeds {self._max_body_bytes} bytes",
-                )
-            if name == b"expect":
-                self.expects_continue = value.lower() == b"100-continue"
+        length = get_field(self._fields, b"content-length")
+        if length is not None and int(length) > self._max_body_bytes:
+            raise HttpError(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f"body exceeds {self._max_body_bytes} bytes",
+            )
+        expectation = get_field(self._fields, b"expect")
+        if expectation is not None:
+            self.expects_continue = expectation.lower() == b"100-continue"
 
     def on_message_complete(self) -> None:
         self._overhead_bytes = 0
@@ -172,8 +194,8 @@
             Request(
                 method=self._parser.get_method().decode("ascii"),
                 target=self._target.decode("latin-1"),
-                fields=self._fields.items,
-                body=self._body.join(),
+                fields=self._fields,
+                body=bytes(self._body),
                 keep_alive=self._parser.should_keep_alive(),
             )
         )
--- a/packages/endivebeam-http/src/endivebeam_http/_responses.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_responses.py
@@ -84,9 +84,9 @@
         self._started = True
 
     def on_headers_complete(self) -> None:
-        self._fields.complete()
+        self._complete_header()
         status = self._parser.get_status_code()
-        names = {field.name for field in self._fields.items}
+        names = {field[0] for field in self._fields}
         framed = b"content-length" in names or b"transfer-encoding" in names
         if self.head_only and status >= 200:
             self._complete(keep_alive=False)
@@ -116,8 +116,8 @@
         self._completed.append(
             Response(
                 status=self._parser.get_status_code(),
-                fields=self._fields.items,
-                body=self._body.join(),
+                fields=self._fields,
+                body=bytes(self._body),
                 keep_alive=keep_alive,
             )
         )
--- a/packages/endivebeam-http/src/endivebeam_http/_server.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_server.py
@@ -67,6 +67,7 @@
         if name == b"content-length" and not keeps_length:
             continue
         parts.append(b"%b: %b\r\n" % (name, value))
+    parts.append(response.encoded_fields)
     bodiless = method == "HEAD" or response.status in BODILESS_STATUS
     if not bodiless:
         parts.append(b"content-length: %d\r\n" % len(response.body))
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_attempts.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_attempts.py
@@ -17,7 +17,7 @@
     ServiceName,
 )
 from endivebeam_routing import CallOutcome, Router
-from endivebeam_wire import ForwardOutcome, ForwardReply, ForwardRequest, Header
+from endivebeam_wire import ForwardOutcome, ForwardReply, ForwardRequest
 
 from ._clock import read_clock
 from ._decisions import AttemptDetail, Decision, DecisionLog
@@ -46,7 +46,7 @@
     service: ServiceName
     method: str
     path: str
-    headers: list[Header]
+    encoded_fields: bytes
     body: bytes
     account: AccountId
     rank: float
@@ -180,7 +180,7 @@
                 service=call.service,
                 method=call.method,
                 path=call.path,
-                headers=call.headers,
+                encoded_fields=call.encoded_fields,
                 body=call.body,
                 account=call.account,
                 semantics=call.route.semantics,
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -8,15 +8,16 @@
 
 from endivebeam_fleet import AccountTerms, ConfigIndex, RouteRule, WeightedSelector
 from endivebeam_http import (
+    HOP_BY_HOP,
     Exchange,
     Field,
     HttpError,
     Request,
     Response,
-    strip_hop_by_hop,
+    encode_end_to_end,
 )
 from endivebeam_model import AccountId, Refusal, RefusalReason
-from endivebeam_wire import ForwardReply, Header
+from endivebeam_wire import ForwardReply
 
 from ._allowances import Allowances, SpendResult
 from ._attempts import Call, CallSender
@@ -63,7 +64,11 @@
         self._key_trust_s = settings.bounds.key_withdrawal_s * KEY_TRUST_FRACTION
         self._selectors: dict[str, WeightedSelector] = {}
         names = settings.headers
-        self._dropped_fields = frozenset(
+        self._caller_service_field = b"%b: %b\r\n" % (
+            names.caller_service,
+            settings.service.encode(),
+        )
+        self._dropped_fields = HOP_BY_HOP | frozenset(
             {
                 b"authorization",
                 b"content-length",
@@ -93,8 +98,11 @@
             return self._encode_refusal(outcome, call_id)
         outcome_label = "answered" if outcome.status < 500 else "target_error"
         self._metrics.observe_request(outcome_label, took_s)
-        fields = [Field(*header) for header in outcome.headers]
-        return Response(status=outcome.status, fields=fields, body=outcome.body)
+        return Response(
+            status=outcome.status,
+            encoded_fields=outcome.encoded_fields,
+            body=outcome.body,
+        )
 
     def reject_malformed(self, error: HttpError) -> Response:
         """Return the response to bytes that are not a valid request."""
@@ -180,19 +188,13 @@
         arrived: float,
     ) -> Call:
         time_left_s = min(self._caller_timeout_s(request), route.timeout_s)
-        headers = [
-            Header(*field)
-            for field in strip_hop_by_hop(request.fields, also=self._dropped_fields)
-        ]
-        names = self._settings.headers
-        headers.append(Header(names.caller_service, self._settings.service.encode()))
         return Call(
             call_id=call_id,
             route=route,
             service=self._selector(route).next_service(route.destinations),
             method=request.method,
             path=request.target,
-            headers=headers,
+            encoded_fields=self._encode_fields(request),
             body=request.body,
             account=terms.account if terms else AccountId(""),
             rank=self._find_rank(route, terms),
@@ -201,6 +203,10 @@
             deadline=arrived + time_left_s,
         )
 
+    def _encode_fields(self, request: Request) -> bytes:
+        fields = encode_end_to_end(request.fields, dropped=self._dropped_fields)
+        return fields + self._caller_service_field
+
     def _find_rank(self, route: RouteRule, terms: AccountTerms | None) -> float:
         if terms is None:
             mean = self._target.mean_rank
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -23,7 +23,7 @@
 from endivebeam_model import Address, Member, MemberState, NodeId
 from endivebeam_routing import Router
 from endivebeam_wire import (
-    PROTOCOL_VERSION,
+    SIDECAR_PROTOCOL_VERSION,
     ConfigRequest,
     ForwardRequest,
     Heartbeat,
@@ -101,7 +101,7 @@
         self._unreachable = UnreachableNodes()
         self._links = Links(
             local=Hello(
-                protocol=PROTOCOL_VERSION,
+                protocol=SIDECAR_PROTOCOL_VERSION,
                 node_id=settings.node_id,
                 incarnation=1,
                 domain=settings.domain,
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
@@ -25,14 +25,12 @@
     NotSentError,
     Response,
     TaskSet,
-    strip_hop_by_hop,
 )
 from endivebeam_model import Semantics
 from endivebeam_wire import (
     ForwardOutcome,
     ForwardReply,
     ForwardRequest,
-    Header,
     TargetLoad,
 )
 
@@ -40,7 +38,12 @@
 from ._decisions import CallRejectionDetail, CancellationDetail, Decision, DecisionLog
 from ._metrics import SidecarMetrics
 from ._settings import HeaderNames
-from ._target_http import classify_response, encode_request, match_response
+from ._target_http import (
+    classify_response,
+    encode_request,
+    encode_response_fields,
+    match_response,
+)
 from ._target_lifetime import (
     PooledConnection,
     TargetLifetime,
@@ -300,7 +303,7 @@
             outcome=ForwardOutcome.ANSWERED,
             load=self.load,
             status=response.status,
-            headers=[Header(*f) for f in strip_hop_by_hop(response.fields)],
+            encoded_fields=encode_response_fields(response, method=call.method),
             body=response.body,
         )
 
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target_http.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target_http.py
@@ -4,12 +4,13 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
-from endivebeam_http import Response
+from endivebeam_http import HOP_BY_HOP, Response, encode_end_to_end
 from endivebeam_wire import ForwardOutcome, ForwardRequest
 
 from ._settings import HeaderNames
 
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+_DROPPED_WITH_BODY = HOP_BY_HOP | {b"content-length"}
 # Statuses from which a caller concludes that its request never ran. The response of a
 # target that may have run the call must not be forwarded with one of them.
 _NOT_RUN_STATUSES = frozenset(
@@ -33,11 +34,18 @@
 ) -> bytes:
     """Return the encoded request to a target, with the time that is left for it."""
     parts = [f"{call.method} {call.path} HTTP/1.1\r\n".encode("latin-1")]
-    for name, value in call.headers:
-        parts.append(b"%b: %b\r\n" % (name, value))
-    parts.append(b"%b: %b\r\n" % (names.call_id, call.call_id.encode("latin-1")))
-    parts.append(b"%b: %d\r\n" % (names.deadline_ms, max(1, int(left_s * 1000))))
-    parts.append(b"%b: %b\r\n" % (names.expected_instance, instance.encode()))
+    parts.append(call.encoded_fields)
+    parts.append(
+        b"%b: %b\r\n%b: %d\r\n%b: %b\r\n"
+        % (
+            names.call_id,
+            call.call_id.encode("latin-1"),
+            names.deadline_ms,
+            max(1, int(left_s * 1000)),
+            names.expected_instance,
+            instance.encode(),
+        )
+    )
     if call.account:
         parts.append(b"%b: %b\r\n" % (names.account, call.account.encode()))
     if call.body or call.method in _METHODS_WITH_BODY:
@@ -47,6 +55,16 @@
     return b"".join(parts)
 
 
+def encode_response_fields(response: Response, *, method: str) -> bytes:
+    """Return the encoded header fields of a target's response for its caller.
+
+    Keeps ``Content-Length`` only where it is not the length of the body that follows.
+    """
+    describes_other = method == "HEAD" or response.status == HTTPStatus.NOT_MODIFIED
+    dropped = HOP_BY_HOP if describes_other else _DROPPED_WITH_BODY
+    return encode_end_to_end(response.fields, dropped=dropped)
+
+
 def match_response(call_id: str, *, names: HeaderNames) -> Callable[[Response], bool]:
     """Return a predicate that tests whether a response belongs to a call."""
     wanted = call_id.encode("latin-1")
--- a/packages/endivebeam-sidecar/tests/test_config_transfer.py
+++ b/packages/endivebeam-sidecar/tests/test_config_transfer.py
@@ -14,7 +14,7 @@
 from endivebeam_sidecar import Sidecar
 from endivebeam_sidecar._config_transfer import ConfigTransfer
 from endivebeam_wire import (
-    PROTOCOL_VERSION,
+    SIDECAR_PROTOCOL_VERSION,
     ConfigReply,
     ConfigRequest,
     FrameReader,
@@ -84,7 +84,7 @@
             await anyio.connect_tcp("127.0.0.1", port)
         )
         hello = Hello(
-            protocol=PROTOCOL_VERSION,
+            protocol=SIDECAR_PROTOCOL_VERSION,
             node_id=NodeId(f"raw-{number}"),
             incarnation=1,
             domain=DomainName("d1"),
--- a/packages/endivebeam-sidecar/tests/test_target.py
+++ b/packages/endivebeam-sidecar/tests/test_target.py
@@ -42,7 +42,7 @@
         service=ServiceName("stock"),
         method="GET",
         path="/x",
-        headers=[],
+        encoded_fields=b"",
         body=b"",
         account=AccountId("fit"),
         semantics=semantics,
--- a/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/__init__.py
@@ -1,6 +1,12 @@
 """Typed peer messages, their framing and the streams that carry them."""
 
-from ._base import MAX_BODY_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION, Header
+from ._base import (
+    MAX_BODY_BYTES,
+    MAX_FRAME_BYTES,
+    PROTOCOL_VERSION,
+    SIDECAR_PROTOCOL_VERSION,
+    Header,
+)
 from ._call_messages import (
     CallAnswer,
     CallRefused,
@@ -64,6 +70,7 @@
     "MAX_BODY_BYTES",
     "MAX_FRAME_BYTES",
     "PROTOCOL_VERSION",
+    "SIDECAR_PROTOCOL_VERSION",
     "BucketLevel",
     "CallAnswer",
     "CallRefused",
--- a/packages/endivebeam-wire/src/endivebeam_wire/_base.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_base.py
@@ -5,6 +5,8 @@
 import msgspec
 
 PROTOCOL_VERSION = 1
+# Version of the protocol between sidecar nodes.
+SIDECAR_PROTOCOL_VERSION = 2
 MAX_BODY_BYTES = 1 << 20
 MAX_FRAME_BYTES = MAX_BODY_BYTES + (64 << 10)
 MAX_HEADERS = 128
--- a/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
@@ -14,7 +14,7 @@
     ServiceName,
 )
 
-from ._base import Body, Headers, PathText, PeerMessage, ShortText
+from ._base import Body, PathText, PeerMessage, ShortText
 
 # Incarnation and sequence of a member record.
 RecordVersion = tuple[int, int]
@@ -56,6 +56,8 @@
 class ForwardRequest(PeerMessage, frozen=True, kw_only=True, tag=60):
     """A call for the target of the receiving node.
 
+    ``encoded_fields`` has the header fields as they are sent on, each with its line
+    end, so that no node between the caller and the target decodes them again.
     ``call_id`` identifies the caller's attempt. ``budget_ms`` is the time left
     until the final response is due. ``internal`` calls are made by a target while
     it runs a request. ``shed_order`` ranks the other calls from 0, shed last, to 1,
@@ -68,7 +70,7 @@
     service: ServiceName
     method: ShortText
     path: PathText
-    headers: Headers
+    encoded_fields: bytes
     body: Body
     account: AccountId
     semantics: Semantics
@@ -80,7 +82,7 @@
 
 
 class ForwardReply(PeerMessage, frozen=True, kw_only=True, tag=61):
-    """Outcome of a forwarded call.
+    """Outcome of a forwarded call, with the target's header fields as they are sent on.
 
     ``retry_after_ms`` estimates when the target has free capacity, ``reason`` is for
     logs, and ``leaving`` means that the node accepts no more calls.
@@ -90,7 +92,7 @@
     outcome: ForwardOutcome
     load: TargetLoad
     status: int = 0
-    headers: Headers = []
+    encoded_fields: bytes = b""
     body: Body = b""
     reason: ShortText = ""
     retry_after_ms: int = 0
