Count running calls, live nodes and checksums as they change

Cause: the queue summed its groups for each admission, the directory went through all members for its length, its live nodes and its digest (several times a second at each node, with 195 members), the router examined the targets of all domains for each call although it prefers its own, and each reply of a target was built twice.

The running calls, the limits, the list of live nodes and the digest are now kept up to date with each change; targets of other domains are examined only if none of the own domain has room. Differential test: derived values of the directory against a fresh one after each change.

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_admission_queue.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_admission_queue.py
@@ -55,14 +55,16 @@
     def __init__(self, *, limit_of: Callable[[CallKind], float] = _no_limit) -> None:
         self._limit_of = limit_of
         self._groups: dict[CallKind, _Group] = {}
-        self._slots = 0
+        self._warm_limit = 0
+        self._cold_limit = 0
+        self._running = 0
         self._rank_sum = 0.0
         self._cold_until = 0.0
 
     @property
     def running(self) -> int:
         """Number of running calls."""
-        return sum(group.running for group in self._groups.values())
+        return self._running
 
     @property
     def waiting(self) -> int:
@@ -106,16 +108,14 @@
 
     def limit(self, now: float) -> int:
         """Return how many calls may run at once."""
-        if not self._slots:
-            return 0
-        fraction = USED_SLOT_FRACTION * (
-            COLD_SLOT_FRACTION if now < self._cold_until else 1.0
-        )
-        return max(1, int(self._slots * fraction))
+        return self._cold_limit if now < self._cold_until else self._warm_limit
 
     def configure(self, *, slots: int, cold_left_s: float, now: float) -> None:
         """Set the announced slots and the remaining time of the cold start."""
-        self._slots = slots
+        self._warm_limit = _limit_of_slots(slots, USED_SLOT_FRACTION)
+        self._cold_limit = _limit_of_slots(
+            slots, USED_SLOT_FRACTION * COLD_SLOT_FRACTION
+        )
         self._cold_until = now + cold_left_s
 
     def expected_wait_s(self, now: float, urgency: float, kind: CallKind) -> float:
@@ -157,6 +157,7 @@
             group.waiting.decrement()
         elif state is TicketState.RUNNING:
             group.running -= 1
+            self._running -= 1
             self._rank_sum -= ticket.rank
             if ran_to_end:
                 held_s = now - ticket.started_at
@@ -213,6 +214,7 @@
         ticket.state = TicketState.RUNNING
         ticket.started_at = now
         self._group(ticket.kind).running += 1
+        self._running += 1
         self._rank_sum += ticket.rank
 
     def _group(self, kind: CallKind) -> _Group:
@@ -222,5 +224,9 @@
         return group
 
 
+def _limit_of_slots(slots: int, fraction: float) -> int:
+    return max(1, int(slots * fraction)) if slots else 0
+
+
 def _urgency(ticket: Ticket) -> float:
     return ticket.urgency
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_directory.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_directory.py
@@ -13,6 +13,11 @@
     return member.incarnation, member.sequence
 
 
+def _record_checksum(member: Member) -> int:
+    record = f"{member.node_id} {member.incarnation} {member.sequence}"
+    return zlib.crc32(record.encode())
+
+
 class Directory:
     """The newest record of each node.
 
@@ -25,10 +30,14 @@
         self.version = 0
         self._members: dict[NodeId, Member] = {}
         self._by_service: dict[ServiceName, list[Member]] = {}
+        self._live: list[Member] | None = None
+        # Checksums of the records are combined by exclusive or, so that a change
+        # replaces that of one record.
+        self._digest = 0
 
     def __len__(self) -> int:
         """Return the number of live nodes."""
-        return sum(1 for m in self._members.values() if m.state not in _DEPARTED)
+        return len(self.live())
 
     def find(self, node_id: NodeId) -> Member | None:
         """Return the record of a node, which may be a tombstone, or None."""
@@ -39,8 +48,11 @@
         return self._members.values()
 
     def live(self) -> list[Member]:
-        """Return the records of the live nodes."""
-        return [m for m in self._members.values() if m.state not in _DEPARTED]
+        """Return the records of the live nodes; the list may not be changed."""
+        if self._live is None:
+            members = self._members.values()
+            self._live = [m for m in members if m.state not in _DEPARTED]
+        return self._live
 
     def serving(self, service: ServiceName) -> list[Member]:
         """Return the nodes whose target accepts new calls to a service."""
@@ -53,18 +65,17 @@
             return False
         self.version += 1
         self._members[member.node_id] = member
+        self._live = None
+        self._digest ^= _record_checksum(member)
         if previous is not None:
+            self._digest ^= _record_checksum(previous)
             self._rebuild(previous.service)
         self._rebuild(member.service)
         return True
 
     def digest(self) -> int:
         """Return a checksum over all records, to detect differing directories."""
-        value = 0
-        for member in self._members.values():
-            record = f"{member.node_id} {member.incarnation} {member.sequence}"
-            value ^= zlib.crc32(record.encode())
-        return value
+        return self._digest
 
     def versions(self) -> dict[NodeId, tuple[int, int]]:
         """Return the version of each record."""
--- a/packages/endivebeam-fleet/tests/test_directory.py
+++ b/packages/endivebeam-fleet/tests/test_directory.py
@@ -67,6 +67,21 @@
             serving = directory.serving(ServiceName(service))
             assert {m.node_id for m in serving} == expected
 
+    @given(st.lists(MEMBERS, max_size=20))
+    def test_derived_values_follow_each_change(self, members: list[Member]):
+        """Guards against a list or checksum that is kept beyond a change."""
+        directory = Directory()
+        for member in members:
+            directory.apply(member)
+            fresh = Directory()
+            for known in reversed(list(directory.members())):
+                fresh.apply(known)
+            assert directory.digest() == fresh.digest()
+            departed = (MemberState.LEFT, MemberState.DEAD)
+            live = [m for m in directory.members() if m.state not in departed]
+            assert directory.live() == live
+            assert len(directory) == len(live)
+
     @given(st.lists(MEMBERS, max_size=10), st.lists(MEMBERS, max_size=10))
     def test_two_directories_agree_after_sending_newer_records(
         self, left: list[Member], right: list[Member]
--- a/packages/endivebeam-routing/src/endivebeam_routing/_router.py
+++ b/packages/endivebeam-routing/src/endivebeam_routing/_router.py
@@ -48,8 +48,7 @@
 
         Returns None if no target is usable.
         """
-        usable = [m for m in candidates if self._is_usable(m, now)]
-        group = self._preferred_group(usable, now)
+        group = self._preferred_group(candidates, now)
         if not group:
             return None
         chosen = self._select(group, now)
@@ -161,14 +160,18 @@
         return health.is_usable(now) and not self._domains.is_unreachable(member.domain)
 
     def _preferred_group(
-        self, usable: Sequence[Member], now: float
+        self, candidates: Sequence[Member], now: float
     ) -> Sequence[Member]:
-        own = [m for m in usable if m.domain == self._domain]
-        others = [m for m in usable if m.domain != self._domain]
-        if not own:
-            return self._nearest(others)
+        domain = self._domain
+        own = [m for m in candidates if m.domain == domain and self._is_usable(m, now)]
         if any(self._has_spare_slots(m, now) for m in own):
             return own
+        # Targets elsewhere are examined only if this domain cannot take the call.
+        others = [
+            m for m in candidates if m.domain != domain and self._is_usable(m, now)
+        ]
+        if not own:
+            return self._nearest(others)
         # Other domains get calls of a full domain only at targets that report spare
         # slots themselves. Otherwise an overload would spread from domain to domain.
         overflow = [
--- /dev/null
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_replies.py
@@ -0,0 +1,52 @@
+"""Replies to a forwarded call, by what became of it at the target."""
+
+from endivebeam_http import Response
+from endivebeam_wire import ForwardOutcome, ForwardReply, ForwardRequest, TargetLoad
+
+from ._target_http import encode_response_fields
+
+MIN_RETRY_AFTER_S = 0.1
+MAX_REASON_LENGTH = 200
+
+
+def make_answer(
+    call: ForwardRequest, response: Response, load: TargetLoad
+) -> ForwardReply:
+    """Return the reply with the target's response."""
+    return ForwardReply(
+        request_id=call.request_id,
+        outcome=ForwardOutcome.ANSWERED,
+        load=load,
+        status=response.status,
+        encoded_fields=encode_response_fields(response, method=call.method),
+        body=response.body,
+    )
+
+
+def make_failure(
+    call: ForwardRequest, outcome: ForwardOutcome, reason: str, load: TargetLoad
+) -> ForwardReply:
+    """Return the reply for a call that was sent to the target and got no answer."""
+    return ForwardReply(
+        request_id=call.request_id,
+        outcome=outcome,
+        load=load,
+        reason=reason[:MAX_REASON_LENGTH],
+    )
+
+
+def make_rejection(
+    call: ForwardRequest, reason: str, load: TargetLoad, *, wait_s: float, leaving: bool
+) -> ForwardReply:
+    """Return the reply for a call that was not sent to the target.
+
+    ``wait_s`` is the expected time until the target has room.
+    """
+    return ForwardReply(
+        request_id=call.request_id,
+        outcome=ForwardOutcome.REFUSED,
+        load=load,
+        reason=reason,
+        retry_after_ms=int(max(MIN_RETRY_AFTER_S, wait_s) * 1000),
+        leaving=leaving,
+    )
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-import msgspec
 from loguru import logger
 
 from endivebeam_fleet import (
@@ -37,13 +36,9 @@
 from ._clock import read_clock
 from ._decisions import CallRejectionDetail, CancellationDetail, Decision, DecisionLog
 from ._metrics import SidecarMetrics
+from ._replies import make_answer, make_failure, make_rejection
 from ._settings import HeaderNames
-from ._target_http import (
-    classify_response,
-    encode_request,
-    encode_response_fields,
-    match_response,
-)
+from ._target_http import classify_response, encode_request, match_response
 from ._target_lifetime import (
     PooledConnection,
     TargetLifetime,
@@ -55,7 +50,6 @@
 # Consecutive connection failures after which the target counts as unreachable.
 MAX_CONNECT_FAILURES = 2
 UNREACHABLE_PAUSE_S = 0.5
-MIN_RETRY_AFTER_S = 0.1
 # A target is reported as calling other services for this long after its last call.
 MAKES_CALLS_WINDOW_S = 30.0
 
@@ -148,7 +142,7 @@
             logger.bind(id=call.call_id).exception(
                 "target: A call failed unexpectedly."
             )
-            return self._make_unknown(call, "the node failed")
+            return self._make_unknown(call, "the node failed", self.load)
 
     async def run(self, call: ForwardRequest) -> ForwardReply:
         """Admit a call, send it to the target and return the outcome."""
@@ -231,8 +225,7 @@
         try:
             reply = await self._send(call, ticket, pooled)
             answered = reply.outcome is ForwardOutcome.ANSWERED
-            pressure = self._find_pressure(call, ticket)
-            return msgspec.structs.replace(reply, load=self._describe_load(pressure))
+            return reply
         finally:
             self._release(ticket, answered=answered)
 
@@ -251,7 +244,7 @@
         if self._pressure.update(hold_s=self._queue.longest_hold_s, now=now):
             self._wake(self._queue.next_changes(now))
 
-    def _find_pressure(self, call: ForwardRequest, ticket: Ticket) -> float:
+    def _find_pressure(self, ticket: Ticket) -> float:
         own = compute_pressure(
             ticket.started_at - ticket.arrived_at, ticket.objective_s
         )
@@ -285,27 +278,25 @@
                 timeout_s=left_s,
             )
         except TimeoutError:
-            return self._make_unknown(call, "no answer within the time left")
+            load = self._describe_load(self._find_pressure(ticket))
+            return self._make_unknown(call, "no answer within the time left", load)
         except (ConnectionLostError, HttpError, MismatchedResponseError) as error:
-            return self._make_unknown(call, str(error))
+            load = self._describe_load(self._find_pressure(ticket))
+            return self._make_unknown(call, str(error), load)
         pooled.lifetime.pool.release(pooled.connection)
         self._metrics.target_latency.observe(read_clock() - started)
-        return self._make_reply(call, response)
+        return self._make_reply(call, response, ticket)
 
-    def _make_reply(self, call: ForwardRequest, response: Response) -> ForwardReply:
+    def _make_reply(
+        self, call: ForwardRequest, response: Response, ticket: Ticket
+    ) -> ForwardReply:
+        load = self._describe_load(self._find_pressure(ticket))
         result = classify_response(response, names=self._headers)
         if result.outcome is not ForwardOutcome.ANSWERED:
             if response.status == HTTPStatus.MISDIRECTED_REQUEST:
                 self._record_unreachable("another target has the address")
-            return self._make_failure(call, result.outcome, result.reason)
-        return ForwardReply(
-            request_id=call.request_id,
-            outcome=ForwardOutcome.ANSWERED,
-            load=self.load,
-            status=response.status,
-            encoded_fields=encode_response_fields(response, method=call.method),
-            body=response.body,
-        )
+            return make_failure(call, result.outcome, result.reason, load)
+        return make_answer(call, response, load)
 
     def _reject_queued(self, call: ForwardRequest, ticket: Ticket) -> ForwardReply:
         self._release(ticket, answered=False)
@@ -332,14 +323,8 @@
             )
 
         self._decisions.write(Decision.CALL_REJECTED, make_detail)
-        return ForwardReply(
-            request_id=call.request_id,
-            outcome=ForwardOutcome.REFUSED,
-            load=self._describe_load(pressure),
-            reason=reason,
-            retry_after_ms=int(max(MIN_RETRY_AFTER_S, wait_s) * 1000),
-            leaving=leaving,
-        )
+        load = self._describe_load(pressure)
+        return make_rejection(call, reason, load, wait_s=wait_s, leaving=leaving)
 
     def _log_cancellation(
         self, call: ForwardRequest, ticket: Ticket, *, was_sent: bool
@@ -356,18 +341,10 @@
 
         self._decisions.write(Decision.CALL_CANCELLED, make_detail)
 
-    def _make_unknown(self, call: ForwardRequest, reason: str) -> ForwardReply:
-        return self._make_failure(call, ForwardOutcome.UNKNOWN, reason)
-
-    def _make_failure(
-        self, call: ForwardRequest, outcome: ForwardOutcome, reason: str
+    def _make_unknown(
+        self, call: ForwardRequest, reason: str, load: TargetLoad
     ) -> ForwardReply:
-        return ForwardReply(
-            request_id=call.request_id,
-            outcome=outcome,
-            load=self.load,
-            reason=reason[:200],
-        )
+        return make_failure(call, ForwardOutcome.UNKNOWN, reason, load)
 
     def _record_unreachable(self, reason: str) -> None:
         self._connect_failures += 1
