Close a listener before the streams that it accepted

Seen: test_lost_holder_is_not_used_again_before_it_replies (KNOWN-RED) failed once here: one of two nodes kept the killed holder of allowances.

Cause: at its end a node closed its streams and then waited for its tasks while the listener still accepted. A peer connects again as soon as its stream is closed; if it did so in that time, the dead node went on answering it, as a holder or as the way to a target. The same order in the server of callers accepted connections whose requests were then cut without an answer, at the end of each planned stop.

Ruled out: a probe that another process answered (a stream to another node id is refused), and the order of suspects and leases.

Two tests fail before (a connection is accepted while the last handlers end) and pass after, on both loops.

--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -336,6 +336,8 @@
             try:
                 await self._sweep()
             finally:
+                # A request on a connection that is accepted from now on would be cut.
+                listener.close()
                 for connection in list(self._connections):
                     connection.close()
                 await self._tasks.close()
--- a/packages/endivebeam-http/src/endivebeam_http/_transport.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_transport.py
@@ -282,6 +282,11 @@
 
     async def aclose(self) -> None:
         """Stop accepting connections."""
+        self.close()
+
+    def close(self) -> None:
+        """Stop accepting connections; abort those accepted from now on."""
+        self._on_accept = TcpStream.abort
         if self._server is not None:
             self._server.close()
 
--- a/packages/endivebeam-http/tests/test_pipeline.py
+++ b/packages/endivebeam-http/tests/test_pipeline.py
@@ -14,6 +14,7 @@
     Response,
     ResponseQueue,
     ServerLimits,
+    connect_stream,
     listen_tcp,
     plain_error_response,
 )
@@ -171,3 +172,45 @@
                 await anyio.wait_readable(raw)
                 received += len(raw.recv(1 << 20))
             raw.close()
+
+
+class TestEnd:
+    async def test_no_connection_is_accepted_while_handlers_end(self):
+        """Guards against a request that is accepted after the last one was cut."""
+        started, release = anyio.Event(), anyio.Event()
+
+        async def end_slowly(exchange: Exchange) -> Response:
+            started.set()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await release.wait()
+            return Response(status=200)
+
+        server = PipelinedServer(
+            handler=end_slowly,
+            error_response=plain_error_response,
+            limits=ServerLimits(),
+        )
+        listener = await listen_tcp("127.0.0.1", 0)
+        port = listener.port
+        with anyio.fail_after(TEST_TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                scope = anyio.CancelScope()
+
+                async def run() -> None:
+                    with scope:
+                        await server.serve(listener)
+
+                tasks.start_soon(run)
+                stream = await anyio.connect_tcp("127.0.0.1", port)
+                await stream.send(encode("/slow"))
+                await started.wait()
+                scope.cancel()
+                with pytest.raises(anyio.EndOfStream):
+                    await stream.receive()
+                with pytest.raises(ConnectionRefusedError):
+                    await connect_stream("127.0.0.1", port)
+                release.set()
+            await stream.aclose()
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
@@ -68,6 +68,9 @@
             try:
                 await self._monitor()
             finally:
+                # A peer whose stream is closed connects again at once. The new stream
+                # would outlive this loop and serve requests for a node that has ended.
+                listener.close()
                 for stream in [*self._streams.values(), *self._accepted]:
                     stream.close()
                 await self._tasks.close()
--- /dev/null
+++ b/packages/endivebeam-sidecar/tests/test_links.py
@@ -0,0 +1,85 @@
+"""Tests of the end of the streams between nodes."""
+
+import anyio
+import pytest
+
+from endivebeam_http import TaskSet, connect_stream, listen_tcp
+from endivebeam_model import DomainName, NodeId
+from endivebeam_sidecar._links import Links
+from endivebeam_wire import (
+    SIDECAR_PROTOCOL_VERSION,
+    DirectStream,
+    Heartbeat,
+    HeartbeatEcho,
+    Hello,
+    Reply,
+    Request,
+)
+
+pytestmark = pytest.mark.anyio
+WAIT_S = 10.0
+
+
+def make_hello(name: str) -> Hello:
+    return Hello(
+        protocol=SIDECAR_PROTOCOL_VERSION,
+        node_id=NodeId(name),
+        incarnation=1,
+        domain=DomainName("d"),
+    )
+
+
+class TestEnd:
+    async def test_no_stream_is_accepted_while_requests_end(self):
+        """Guards against a node that serves its peers after it has ended.
+
+        A peer connects again as soon as its stream is closed. If the node still
+        accepts it, the node goes on holding allowances or a role.
+        """
+        started, release = anyio.Event(), anyio.Event()
+
+        async def end_slowly(node_id: NodeId, request: Request) -> Reply:
+            started.set()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await release.wait()
+            return HeartbeatEcho(request_id=request.request_id)
+
+        links = Links(
+            local=make_hello("ending"),
+            handle_request=end_slowly,
+            on_unreachable=lambda node_id: None,
+            on_reached=lambda node_id: None,
+        )
+        listener = await listen_tcp("127.0.0.1", 0)
+        port = listener.port
+        scope = anyio.CancelScope()
+        closed = anyio.Event()
+        tasks_of_peer = TaskSet()
+
+        async def run() -> None:
+            with scope:
+                await links.run(listener)
+
+        with anyio.fail_after(WAIT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(run)
+                stream = DirectStream(
+                    transport=await connect_stream("127.0.0.1", port),
+                    handle_request=end_slowly,
+                    local=make_hello("peer"),
+                    spawn=tasks_of_peer.spawn,
+                    on_closed=lambda stream: closed.set(),
+                )
+                await stream.handshake()
+                request = Heartbeat(request_id=stream.next_id())
+                tasks_of_peer.spawn(stream.send_request(request))
+                await started.wait()
+                scope.cancel()
+                await closed.wait()
+                with pytest.raises(ConnectionRefusedError):
+                    await connect_stream("127.0.0.1", port)
+                release.set()
+        await tasks_of_peer.close()
