Wait for signals with one timer each

Cause: a timed scope of anyio starts its timer again until the loop's clock has passed the deadline; uvloop's clock counts milliseconds, so each expired wait of the renewal of allowances and of the synchronization with peers ran about 50 timers (1,846 in 5 s at one node of four, counted by a profile), each an iteration of the loop.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
@@ -21,6 +21,7 @@
 from ._clock import read_clock
 from ._decisions import RateLimitDetail
 from ._links import LinkLostError, LinkNotOpenError, Links
+from ._signal import Signal
 from ._state import FleetState
 
 RENEWAL_PERIOD_S = 0.3
@@ -61,8 +62,8 @@
             started_at=read_clock(),
         )
         self._holder = AllowanceHolder(tolerance=tolerance)
-        self._tokens_wanted = anyio.Event()
-        self._renewed = anyio.Event()
+        self._tokens_wanted = Signal()
+        self._renewed = Signal()
         self._suspects: set[NodeId] = set()
         self._renewed_at = read_clock()
         self._leased_parts = 0.0
@@ -81,8 +82,7 @@
         if not self._requester.is_exhausted(terms):
             renewed = self._renewed
             self._tokens_wanted.set()
-            with anyio.move_on_after(TOKEN_WAIT_S):
-                await renewed.wait()
+            await renewed.wait(TOKEN_WAIT_S)
             if self._requester.spend_after_wait(terms, read_clock()):
                 return SpendResult.ALLOWED
         leased = self._requester.has_lease(read_clock())
@@ -143,11 +143,10 @@
             while True:
                 await self._renew_lease()
                 self._renewed.set()
-                self._renewed = anyio.Event()
+                self._renewed = Signal()
                 await anyio.sleep(RENEWAL_GAP_S)
-                with anyio.move_on_after(RENEWAL_PERIOD_S - RENEWAL_GAP_S):
-                    await self._tokens_wanted.wait()
-                self._tokens_wanted = anyio.Event()
+                await self._tokens_wanted.wait(RENEWAL_PERIOD_S - RENEWAL_GAP_S)
+                self._tokens_wanted = Signal()
 
     async def _probe_suspects(self) -> None:
         while True:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
@@ -16,6 +16,7 @@
 from ._clock import read_clock
 from ._config_transfer import ConfigTransfer
 from ._links import LinkLostError, LinkNotOpenError, Links
+from ._signal import Signal
 from ._state import FleetState
 from ._store_watchers import StoreWatchers
 from ._unreachable_nodes import UnreachableNodes
@@ -49,7 +50,7 @@
         self._watchers = watchers
         self._push_wanted = anyio.Event()
         self._next_peer: NodeId | None = None
-        self._sync_wanted = anyio.Event()
+        self._sync_wanted = Signal()
         self.config_transfer = ConfigTransfer(
             fleet=fleet, links=links, on_adopted=self._sync_soon
         )
@@ -63,9 +64,8 @@
                 if member is not None:
                     tasks.start_soon(self._sync_with, member)
                 self._next_peer = None
-                with anyio.move_on_after(SYNC_PERIOD_S * random.uniform(0.8, 1.2)):
-                    await self._sync_wanted.wait()
-                self._sync_wanted = anyio.Event()
+                await self._sync_wanted.wait(SYNC_PERIOD_S * random.uniform(0.8, 1.2))
+                self._sync_wanted = Signal()
 
     def push_soon(self) -> None:
         """Send a change of this node's record or configuration to peers soon."""
