Take a deadline that no float holds for none

A deadline header of some hundred digits raised OverflowError in the handler: the caller got 502 for a sound request. The new cases with 400 digits fail before.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -217,7 +217,7 @@
         value = request.get(self._settings.headers.deadline_ms)
         try:
             return max(0.0, int(value) / 1000) if value is not None else float("inf")
-        except ValueError:
+        except (ValueError, OverflowError):
             return float("inf")
 
     def _selector(self, route: RouteRule) -> WeightedSelector:
--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -74,6 +74,13 @@
             names = [f.name for f in request.fields]
             assert len(names) == len(set(names))
 
+    @pytest.mark.parametrize("value", ["9" * 400, "9" * 5000, "-" + "9" * 400, "soon"])
+    async def test_unusable_deadline_counts_as_none(self, value: str):
+        # A number that no float holds failed the handler: 502 for a sound request.
+        async with run_fleet() as fleet:
+            response = await fleet.nodes[0].call("/look/x", **{"x-deadline-ms": value})
+            assert response.status == 200
+
     async def test_target_receives_the_time_that_is_left(self):
         async with run_fleet() as fleet:
             await fleet.nodes[0].call("/look/x", **{"x-deadline-ms": "700"})
