--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
@@ -41,8 +41,10 @@
     if objective_s <= 0:
         return 0.0
     fraction = wait_s / objective_s
+    if fraction <= NO_PRESSURE_WAIT:
+        return 0.0
     span = FULL_PRESSURE_WAIT - NO_PRESSURE_WAIT
-    return round(min(1.0, max(0.0, (fraction - NO_PRESSURE_WAIT) / span)), 3)
+    return round(min(1.0, (fraction - NO_PRESSURE_WAIT) / span), 3)
 
 
 class _RunStats:
--- a/packages/endivebeam-http/src/endivebeam_http/_messages.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_messages.py
@@ -54,20 +54,19 @@
     """The peer closed the connection before the message was complete."""
 
 
+@dataclass(slots=True, kw_only=True)
 class _Message:
     """Header fields with an index, which the first look-up creates."""
 
-    __slots__ = ("_index",)
-    fields: list[Field]
+    fields: list[Field] = field(default_factory=list)
+    _index: dict[bytes, bytes] | None = field(default=None, init=False, compare=False)
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a field, or None."""
-        try:
-            return self._index.get(name)
-        except AttributeError:
+        if self._index is None:
             # The first of several values is the last one that is stored.
-            self._index: dict[bytes, bytes] = dict(reversed(self.fields))
-            return self._index.get(name)
+            self._index = dict(reversed(self.fields))
+        return self._index.get(name)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -79,7 +78,6 @@
 
     method: str
     target: str
-    fields: list[Field] = field(default_factory=list)
     body: bytes = b""
     keep_alive: bool = True
 
@@ -93,7 +91,6 @@
     """
 
     status: int
-    fields: list[Field] = field(default_factory=list)
     encoded_fields: bytes = b""
     body: bytes = b""
     keep_alive: bool = True
--- a/packages/endivebeam-http/src/endivebeam_http/_target_client.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_target_client.py
@@ -55,6 +55,7 @@
         self.idle_since = time.monotonic()
         self.is_new = True
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        self._keep_alive_value: bytes | None = None
         stream.consume(self._on_data, self._on_end)
 
     def is_usable(self, *, fraction: float) -> bool:
@@ -162,6 +163,9 @@
     def _update_keep_alive(self, response: Response) -> None:
         self.idle_since = time.monotonic()
         value = response.get(b"keep-alive")
+        if value == self._keep_alive_value:
+            return
+        self._keep_alive_value = value
         timeout_match = _KEEP_ALIVE_TIMEOUT.search(value) if value else None
         if timeout_match:
             self.keep_alive_s = float(timeout_match.group(1))
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_attempts.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_attempts.py
@@ -65,6 +65,7 @@
 
 
 Outcome = ForwardReply | Refusal
+_OUTCOME_NAMES = {outcome: outcome.name.lower() for outcome in ForwardOutcome}
 
 
 class CallSender:
@@ -263,7 +264,7 @@
                 peer=attempt.member.node_id,
                 record=attempt.member.sequence,
                 attempt=number,
-                outcome=attempt.outcome.name.lower(),
+                outcome=_OUTCOME_NAMES[attempt.outcome],
                 status=attempt.reply.status if attempt.reply else 0,
                 reason=attempt.reason,
                 left_ms=int((call.deadline - read_clock()) * 1000),
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_decisions.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_decisions.py
@@ -4,6 +4,7 @@
 for each line costs more than all other processing of a request.
 """
 
+import time
 from collections.abc import Callable
 from datetime import UTC, datetime
 from enum import Enum
@@ -25,12 +26,6 @@
     DISCONNECTED = ("WARNING", "calls", "A caller disconnected before its response.")
     CALL_CANCELLED = ("WARNING", "target", "A call was cancelled.")
 
-    @property
-    def explains_failure(self) -> bool:
-        """Whether the line may use the part of the budget reserved for failures."""
-        level: str = self.value[0]
-        return level == "WARNING"
-
 
 class AttemptDetail(msgspec.Struct, frozen=True, kw_only=True):
     """An attempt at the target of the node ``peer``.
@@ -140,14 +135,17 @@
         self._line_prefixes = {
             decision: _encode_prefix(node_id, decision) for decision in Decision
         }
+        # Decisions that explain a failure may use the reserved part of the budget.
+        self._urgent = {d for d in Decision if _explains_failure(d)}
+        self._second = -1
+        self._time_prefix = b""
 
     def write(self, decision: Decision, make_detail: Callable[[], Detail]) -> None:
         """Write a line; ``make_detail`` is called only within the budget."""
-        if not self._budget.try_acquire(urgent=decision.explains_failure):
+        if not self._budget.try_acquire(urgent=decision in self._urgent):
             return
         parts = [
-            b'{"at":"',
-            datetime.now(UTC).isoformat(timespec="milliseconds").encode(),
+            self._encode_time(),
             self._line_prefixes[decision],
             _encoder.encode(make_detail())[1:],
         ]
@@ -157,6 +155,20 @@
         parts.append(b"\n")
         self._write(b"".join(parts))
 
+    def _encode_time(self) -> bytes:
+        now_ms = time.clock_gettime_ns(time.CLOCK_REALTIME) // 1_000_000
+        second, milliseconds = divmod(now_ms, 1000)
+        if second != self._second:
+            self._second = second
+            text = datetime.fromtimestamp(second, UTC).strftime("%Y-%m-%dT%H:%M:%S")
+            self._time_prefix = b'{"at":"' + text.encode()
+        return b"%b.%03d+00:00" % (self._time_prefix, milliseconds)
+
+
+def _explains_failure(decision: Decision) -> bool:
+    level: str = decision.value[0]
+    return level == "WARNING"
+
 
 def _encode_prefix(node_id: str, decision: Decision) -> bytes:
     level, part, message = decision.value
--- a/packages/endivebeam-wire/src/endivebeam_wire/_codec.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_codec.py
@@ -45,6 +45,11 @@
         then be closed, because the start of the next frame is unknown.
         """
         buffer = self._buffer
+        if not buffer and len(data) >= LENGTH_BYTES:
+            (length,) = _LENGTH.unpack_from(data)
+            if len(data) == LENGTH_BYTES + length <= LENGTH_BYTES + MAX_FRAME_BYTES:
+                # Nearly all reads bring exactly one frame, which needs no buffer.
+                return [_decode(memoryview(data)[LENGTH_BYTES:])]
         buffer += data
         messages = []
         start = 0
@@ -62,7 +67,7 @@
         return messages
 
 
-def _decode(payload: bytes) -> Message:
+def _decode(payload: bytes | memoryview) -> Message:
     try:
         return _decoder.decode(payload)
     except msgspec.DecodeError as error:
