Grant whole tokens, and let requests ask again soon after a short grant

Callers of an account above its rate got far less than its rate where its requests arrive at many nodes. Cause: each node held a fraction of a token for the demand that it expected, which serves no request; at 195 nodes these fractions added up to most of an account's tokens. And after a short grant a node rejected requests without asking until its next periodic renewal found tokens.

Tokens are granted whole, a node asks in advance only for whole ones, and a short grant stops it from asking for 0.1 s.

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from ._admission_queue import AdmissionQueue
-from ._allowance_requester import AllowanceRequester
+from ._allowance_requester import EXHAUSTED_PAUSE_S, AllowanceRequester
 from ._allowances import (
     LEASE_S,
     AllowanceHolder,
@@ -38,6 +38,7 @@
 from ._weighted_selector import WeightedSelector
 
 __all__ = [
+    "EXHAUSTED_PAUSE_S",
     "LEASE_S",
     "AccountTerms",
     "AdmissionQueue",
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_allowance_requester.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_allowance_requester.py
@@ -9,25 +9,26 @@
 from ._config import AccountTerms
 from ._spent_tokens import SpentTokens
 
-# A node requests tokens for its expected demand during this time. It requests more when
-# a request finds no token.
+# A node requests whole tokens for its expected demand during this time. It requests
+# more when a request finds no token.
 TOKEN_HORIZON_S = 0.4
+# After a grant of less than was requested, a node requests no more for this long.
+EXHAUSTED_PAUSE_S = 0.1
 DEMAND_WEIGHT = 0.3
 DEMAND_PERIOD_S = 0.25
-# Up to this need a node requests no tokens until a request arrives.
-MIN_WANTED = 0.05
 
 
 class _TokenBalance:
     """Tokens and demand of one account.
 
     ``reported`` is the number of tokens that this node has according to the holder,
-    ``unserved`` the number of requests that found no token since the last renewal.
+    ``unserved`` the number of requests that wait for the next renewal.
+    ``exhausted_until`` is the time until which no request waits for a token.
     """
 
     __slots__ = (
         "demand_per_s",
-        "exhausted",
+        "exhausted_until",
         "reported",
         "requested",
         "requests",
@@ -40,7 +41,7 @@
         self.tokens = 0.0
         self.reported = 0.0
         self.requested = 0.0
-        self.exhausted = False
+        self.exhausted_until = -math.inf
         self.unserved = 0
         self.requests = 0
         self.demand_per_s = 0.0
@@ -78,10 +79,19 @@
         if balance is None:
             balance = self._balances[terms.account] = _TokenBalance()
         balance.requests += 1
-        if self.has_lease(now) and balance.spend(now):
-            return True
+        return self.has_lease(now) and balance.spend(now)
+
+    def await_token(self, terms: AccountTerms, now: float) -> bool:
+        """Request a token for a request that found none, with the next renewal.
+
+        Returns false if the holder had too few tokens just before; the request
+        should then be rejected.
+        """
+        balance = self._balances.get(terms.account)
+        if balance is None or now < balance.exhausted_until:
+            return False
         balance.unserved += 1
-        return False
+        return True
 
     def spend_after_wait(self, terms: AccountTerms, now: float) -> bool:
         """Spend a token for a request that found none before."""
@@ -99,16 +109,16 @@
         """Return whether a holder has a lease on this node's part."""
         return now < self._lease_expires_at
 
+    def balance(self, terms: AccountTerms) -> float:
+        """Return the unspent tokens of an account at this node."""
+        balance = self._balances.get(terms.account)
+        return balance.tokens if balance is not None else 0.0
+
     def demand_per_s(self, terms: AccountTerms) -> float:
         """Return the recent request rate of an account at this node."""
         balance = self._balances.get(terms.account)
         return balance.demand_per_s if balance is not None else 0.0
 
-    def is_exhausted(self, terms: AccountTerms) -> bool:
-        """Return whether the holder's last grant was less than requested."""
-        balance = self._balances.get(terms.account)
-        return balance is not None and balance.exhausted
-
     def choose_holder(self, preferred: NodeId | None, now: float) -> bool:
         """Switch to another holder once the lease expired; return whether it did."""
         if preferred == self.holder or self.has_lease(now):
@@ -151,7 +161,7 @@
         """
         self._lease_expires_at = self._previous_lease_expires_at
 
-    def add_tokens(self, grant: TokenGrant) -> None:
+    def add_tokens(self, grant: TokenGrant, now: float) -> None:
         """Add the granted tokens."""
         self._sends_recent_spend = grant.wants_recent_spend
         for account, tokens in grant.tokens.items():
@@ -159,7 +169,8 @@
             if balance is not None:
                 balance.tokens += tokens
                 balance.reported += tokens
-                balance.exhausted = tokens < balance.requested - TOKEN_EPSILON
+                if tokens < balance.requested - TOKEN_EPSILON:
+                    balance.exhausted_until = now + EXHAUSTED_PAUSE_S
 
     def _recent_spend(
         self, now: float
@@ -186,14 +197,15 @@
 
 def _compute_need(balance: _TokenBalance) -> TokenNeed | None:
     """Return the need to report to the holder, or None if there is none."""
-    wanted = balance.demand_per_s * TOKEN_HORIZON_S + balance.unserved
+    # A fraction of a token serves no request. Where requests of an account arrive at
+    # many nodes, the fractions that they hold would add up to most of its tokens.
+    wanted = math.floor(balance.demand_per_s * TOKEN_HORIZON_S) + balance.unserved
     balance.unserved = 0
     # Tokens above the need are returned, so that other nodes can use them.
     returned = max(0.0, balance.tokens - wanted)
     balance.tokens -= returned
     balance.requested = wanted - balance.tokens
-    if wanted <= MIN_WANTED and balance.reported <= TOKEN_EPSILON:
-        balance.exhausted = False
+    if not wanted and balance.reported <= TOKEN_EPSILON:
         return None
     balance.reported = balance.tokens
     return TokenNeed(balance.tokens, wanted, returned)
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_allowances.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_allowances.py
@@ -249,6 +249,7 @@
         tokens = max(0.0, min(pool.level, remaining, need.wanted - need.held))
         if not math.isfinite(tokens):
             return 0.0
+        tokens = float(math.floor(tokens + TOKEN_EPSILON))
         pool.level -= tokens
         pool.held[node_id] += tokens
         return tokens
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
@@ -77,9 +77,7 @@
         """Spend a token for a request; wait briefly for a lease renewal if needed."""
         if terms.rate_per_s <= 0 or self._requester.spend(terms, read_clock()):
             return SpendResult.ALLOWED
-        # An exhausted account's missing tokens are requested with the next periodic
-        # renewal.
-        if not self._requester.is_exhausted(terms):
+        if self._requester.await_token(terms, read_clock()):
             renewed = self._renewed
             self._tokens_wanted.set()
             await renewed.wait(TOKEN_WAIT_S)
@@ -189,7 +187,7 @@
             self._renewed_at = read_clock()
             self._leased_parts = tokens.lent_parts
             self._requester.add_tokens(
-                TokenGrant(tokens.granted, tokens.wants_recent_spend)
+                TokenGrant(tokens.granted, tokens.wants_recent_spend), read_clock()
             )
 
     async def _end_lease(self) -> None:
