Recover the replies to at-most-once calls whose stream was lost

Callers of deposits and charges got 502 or 504, 'may have run', when the stream between two nodes broke or was closed after a silence: for work that was done, for work that still ran, and for calls that had never arrived.

Cause: the outcome of a call lived only in the stream that had carried it.

The node that lost a stream asks again on another one, until the deadline. It gets the reply once the call has ended, or that the call did not arrive; such a call is refused if it arrives later, so it can be offered to another target and 503 is true. Another process of the node (a token in Hello) does not answer for the former one.

Ruled out: sending the call again on the new stream, which cannot be told from a repeat. The protocol between nodes has version 3.

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
@@ -14,6 +14,7 @@
     TokenNeed,
     Tolerance,
 )
+from ._call_outcomes import CallOutcome, CallOutcomes, CallState, SendId
 from ._call_rates import CallRateEstimator
 from ._config import (
     AccountTerms,
@@ -46,8 +47,11 @@
     "AllowanceRequester",
     "Announcement",
     "CallKind",
+    "CallOutcome",
+    "CallOutcomes",
     "CallPressure",
     "CallRateEstimator",
+    "CallState",
     "ChainLevel",
     "ConfigAssembler",
     "ConfigIndex",
@@ -59,6 +63,7 @@
     "LeaseRenewal",
     "RequestLimits",
     "RouteRule",
+    "SendId",
     "TargetPhase",
     "TargetRecord",
     "Ticket",
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -28,10 +28,8 @@
 from endivebeam_wire import (
     PROTOCOL_VERSION,
     CallRequest,
-    ConfigRequest,
     DigestRequest,
     EntriesRequest,
-    ForwardRequest,
     GrantRequest,
     HandoverRequest,
     Heartbeat,
@@ -46,8 +44,6 @@
     Rumor,
     SnapshotRequest,
     StreamLostError,
-    SyncRequest,
-    TokenRequest,
     WriteCountsRequest,
 )
 
@@ -302,8 +298,8 @@
                 return await self.rates.handle_request(request)
             case WriteCountsRequest():
                 return self.operations.receive_counts(request)
-            case ForwardRequest() | SyncRequest() | ConfigRequest() | TokenRequest():
-                # These requests come from sidecar nodes, which form separate fleets.
+            case _:
+                # Other requests come from sidecar nodes, which form separate fleets.
                 await stream.close()
                 raise StreamLostError("the peer is a node of another kind")
 
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_attempts.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_attempts.py
@@ -22,6 +22,7 @@
 from ._clock import read_clock
 from ._decisions import AttemptDetail, Decision, DecisionLog
 from ._links import LinkLostError, LinkNotOpenError, Links
+from ._lost_replies import make_send_id, recover_reply
 from ._metrics import SidecarMetrics
 from ._state import FleetState
 from ._target import LocalTarget
@@ -174,6 +175,9 @@
                 )
 
     async def _send(self, call: Call, member: Member, now: float) -> Attempt:
+        at_most_once = call.route.semantics is Semantics.AT_MOST_ONCE
+        send_id = make_send_id() if at_most_once else None
+
         def make_request(request_id: int) -> ForwardRequest:
             return ForwardRequest(
                 request_id=request_id,
@@ -190,6 +194,7 @@
                 shed_order=call.shed_order,
                 budget_ms=int((call.deadline - now) * 1000),
                 objective_ms=int(call.route.objective_s * 1000),
+                send_id=send_id or 0,
             )
 
         try:
@@ -200,7 +205,19 @@
         except LinkNotOpenError as error:
             return Attempt(member, ForwardOutcome.REFUSED, None, str(error))
         except LinkLostError as error:
-            return Attempt(member, ForwardOutcome.UNKNOWN, None, str(error))
+            recovered = None
+            if send_id is not None:
+                recovered = await recover_reply(
+                    self._links,
+                    member,
+                    send_id=send_id,
+                    process_token=error.process_token,
+                    sent_at=now,
+                    deadline=call.deadline,
+                )
+            if recovered is None:
+                return Attempt(member, ForwardOutcome.UNKNOWN, None, str(error))
+            reply = recovered
         except TimeoutError:
             return Attempt(
                 member, ForwardOutcome.UNKNOWN, None, "no reply before the deadline"
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -29,6 +29,7 @@
     Heartbeat,
     HeartbeatEcho,
     Hello,
+    OutcomeQuery,
     Reply,
     Request,
     SyncRequest,
@@ -43,7 +44,9 @@
 from ._decisions import DecisionLog, make_null_log
 from ._gossip import Gossip
 from ._links import LinkLostError, LinkNotOpenError, Links
+from ._lost_replies import KeptReplies
 from ._metrics import SidecarMetrics
+from ._peer_calls import PeerCalls
 from ._settings import SidecarSettings
 from ._state import FleetState
 from ._store_sync import StoreSync
@@ -64,6 +67,7 @@
 RESTART_DELAY_S = 0.5
 # Maximum for each of the ports for announcements, readiness and metrics.
 MAX_CONTROL_CONNECTIONS = 64
+PROCESS_TOKEN_BITS = 62
 
 
 class Sidecar:
@@ -98,6 +102,11 @@
             on_change=self._update_own_record,
             decisions=decisions,
         )
+        process_token = random.getrandbits(PROCESS_TOKEN_BITS)
+        self._peer_calls = PeerCalls(
+            target=self._target,
+            kept_replies=KeptReplies(process_token=process_token),
+        )
         self._unreachable = UnreachableNodes()
         self._links = Links(
             local=Hello(
@@ -105,6 +114,7 @@
                 node_id=settings.node_id,
                 incarnation=1,
                 domain=settings.domain,
+                process_token=process_token,
             ),
             handle_request=self._handle_peer_request,
             on_unreachable=self._handle_unreachable,
@@ -305,7 +315,9 @@
         self._unreachable.remove(node_id)
         match request:
             case ForwardRequest():
-                return await self._target.run_safely(request)
+                return await self._peer_calls.run(request)
+            case OutcomeQuery():
+                return await self._peer_calls.find_outcome(request)
             case SyncRequest():
                 return self._gossip.handle_request(node_id, request)
             case ConfigRequest():
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
@@ -33,7 +33,14 @@
 
 
 class LinkLostError(Exception):
-    """The stream failed after the request was sent; the request may have run."""
+    """The stream failed after the request was sent; the request may have run.
+
+    ``process_token`` is that of the process to which it was sent.
+    """
+
+    def __init__(self, message: str, *, process_token: int = 0) -> None:
+        super().__init__(message)
+        self.process_token = process_token
 
 
 class Links:
@@ -97,7 +104,8 @@
         except (StreamFullError, FrameError) as error:
             raise LinkNotOpenError(str(error)) from error
         except StreamLostError as error:
-            raise LinkLostError(str(error)) from error
+            token = stream.remote.process_token if stream.remote else 0
+            raise LinkLostError(str(error), process_token=token) from error
 
     def close_stream(self, node_id: NodeId) -> None:
         """Close the stream to a node."""
--- /dev/null
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_peer_calls.py
@@ -0,0 +1,48 @@
+"""Calls that other nodes send to the target of this one."""
+
+from functools import partial
+
+from loguru import logger
+
+from endivebeam_wire import ForwardReply, ForwardRequest, OutcomeQuery
+
+from ._lost_replies import KeptReplies
+from ._replies import make_rejection, make_unknown
+from ._target import LocalTarget
+
+
+class PeerCalls:
+    """Runs calls of other nodes, and keeps the outcomes of at-most-once calls."""
+
+    def __init__(self, *, target: LocalTarget, kept_replies: KeptReplies) -> None:
+        self._target = target
+        self._kept_replies = kept_replies
+
+    async def run(self, call: ForwardRequest) -> ForwardReply:
+        """Run a call; an unexpected error fails only this call."""
+        if not self._kept_replies.begin(call):
+            return make_rejection(
+                call,
+                "its sender was told that it did not arrive",
+                self._target.load,
+                wait_s=0.0,
+                leaving=False,
+            )
+        reply = await self._run_safely(call)
+        self._kept_replies.end(call, reply)
+        return reply
+
+    async def find_outcome(self, query: OutcomeQuery) -> ForwardReply:
+        """Return the outcome of an at-most-once call once it has ended."""
+        return await self._kept_replies.answer(query, self._target.load)
+
+    async def _run_safely(self, call: ForwardRequest) -> ForwardReply:
+        try:
+            return await self._target.run(
+                call, on_end=partial(self._kept_replies.end, call)
+            )
+        except Exception:
+            logger.bind(id=call.call_id).exception(
+                "target: A call failed unexpectedly."
+            )
+            return make_unknown(call, "the node failed", self._target.load)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_replies.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_replies.py
@@ -1,5 +1,7 @@
 """Replies to a forwarded call, by what became of it at the target."""
 
+from collections.abc import Callable
+
 from endivebeam_http import Response
 from endivebeam_wire import ForwardOutcome, ForwardReply, ForwardRequest, TargetLoad
 
@@ -8,6 +10,13 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_REASON_LENGTH = 200
 
+OnEnd = Callable[[ForwardReply], None]
+"""Receives the outcome of a call."""
+
+
+def ignore_end(reply: ForwardReply) -> None:
+    """Do nothing with the outcome of a call that nobody asks for again."""
+
 
 def make_answer(
     call: ForwardRequest, response: Response, load: TargetLoad
@@ -35,6 +44,11 @@
     )
 
 
+def make_unknown(call: ForwardRequest, reason: str, load: TargetLoad) -> ForwardReply:
+    """Return the reply for a call that was sent to the target and may have run."""
+    return make_failure(call, ForwardOutcome.UNKNOWN, reason, load)
+
+
 def make_rejection(
     call: ForwardRequest, reason: str, load: TargetLoad, *, wait_s: float, leaving: bool
 ) -> ForwardReply:
@@ -50,3 +64,9 @@
         retry_after_ms=int(max(MIN_RETRY_AFTER_S, wait_s) * 1000),
         leaving=leaving,
     )
+
+
+def make_cancellation(call: ForwardRequest, load: TargetLoad) -> ForwardReply:
+    """Return the reply for a call that was cancelled before it was sent."""
+    reason = "cancelled before it was sent"
+    return make_rejection(call, reason, load, wait_s=0.0, leaving=False)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 
 from loguru import logger
@@ -36,7 +36,15 @@
 from ._clock import read_clock
 from ._decisions import CallRejectionDetail, CancellationDetail, Decision, DecisionLog
 from ._metrics import SidecarMetrics
-from ._replies import make_answer, make_failure, make_rejection
+from ._replies import (
+    OnEnd,
+    ignore_end,
+    make_answer,
+    make_cancellation,
+    make_failure,
+    make_rejection,
+    make_unknown,
+)
 from ._settings import HeaderNames
 from ._target_http import (
     CallResult,
@@ -47,14 +55,12 @@
 from ._target_lifetime import (
     PooledConnection,
     TargetLifetime,
+    TargetReachability,
     shared_fields,
     start_lifetime,
 )
 from ._tickets import kind_of, make_ticket
 
-# Consecutive connection failures after which the target counts as unreachable.
-MAX_CONNECT_FAILURES = 2
-UNREACHABLE_PAUSE_S = 0.5
 # A target is reported as calling other services for this long after its last call.
 MAKES_CALLS_WINDOW_S = 30.0
 
@@ -79,8 +85,7 @@
         self._lifetime: TargetLifetime | None = None
         self._admissions: dict[Ticket, asyncio.Future[None]] = {}
         self._tasks = TaskSet()
-        self._connect_failures = 0
-        self._unreachable_until = 0.0
+        self._reachability = TargetReachability()
         self.record = TargetRecord()
         self.leaving = False
         self._last_own_call_at = -math.inf
@@ -98,7 +103,7 @@
     @property
     def load(self) -> TargetLoad:
         """Calls that run at the target or wait for it, and the limit."""
-        return self._describe_load(0.0)
+        return self._describe_load()
 
     @property
     def mean_rank(self) -> float | None:
@@ -118,7 +123,7 @@
                 "target: An outdated announcement was ignored."
             )
             return
-        self._unreachable_until = 0.0
+        self._reachability.end_pause()
         now = read_clock()
         if (
             before is None
@@ -126,7 +131,7 @@
             or (before.instance != announcement.instance)
         ):
             self._lifetime = start_lifetime(announcement)
-            self._connect_failures = 0
+            self._reachability.record_connection()
         self._queue.configure(
             slots=announcement.slots, cold_left_s=announcement.cold_left_s, now=now
         )
@@ -139,18 +144,14 @@
         if self.record.process_leave(instance) and self.record.current is not None:
             self._handle_change(self.record.current)
 
-    async def run_safely(self, call: ForwardRequest) -> ForwardReply:
-        """Run a call of another node; an unexpected error fails only this call."""
-        try:
-            return await self.run(call)
-        except Exception:
-            logger.bind(id=call.call_id).exception(
-                "target: A call failed unexpectedly."
-            )
-            return self._make_unknown(call, "the node failed", self.load)
+    async def run(
+        self, call: ForwardRequest, *, on_end: OnEnd = ignore_end
+    ) -> ForwardReply:
+        """Admit a call, send it to the target and return the outcome.
 
-    async def run(self, call: ForwardRequest) -> ForwardReply:
-        """Admit a call, send it to the target and return the outcome."""
+        If the waiting task is cancelled, ``on_end`` gets the outcome: at the end of an
+        at-most-once call that was sent, at once if the call was not sent.
+        """
         rejection = self._reject_unavailable(call)
         if rejection is not None:
             return rejection
@@ -162,23 +163,39 @@
             pooled = await self._connect(call, ticket)
         except NotSentError as error:
             self._release(ticket, answered=False)
-            self._record_unreachable(str(error))
+            self._reachability.record_failure(str(error))
             return self._reject(call, "target is unreachable", leaving=True)
         except BaseException:
             # The call may have been admitted in the loop iteration that cancelled it.
             self._release(ticket, answered=False)
             self._log_cancellation(call, ticket, was_sent=False)
+            on_end(make_cancellation(call, self.load))
             raise
         work = self._run_admitted(call, ticket, pooled)
         try:
             if call.semantics is Semantics.AT_MOST_ONCE:
                 # An at-most-once call runs to its end when its caller disconnects.
-                return await asyncio.shield(self._tasks.spawn(work))
+                ending = self._report_end(call, work, on_end)
+                return await asyncio.shield(self._tasks.spawn(ending))
             return await work
         except asyncio.CancelledError:
             self._log_cancellation(call, ticket, was_sent=True)
             raise
 
+    async def _report_end(
+        self,
+        call: ForwardRequest,
+        work: Coroutine[None, None, ForwardReply],
+        on_end: OnEnd,
+    ) -> ForwardReply:
+        try:
+            reply = await work
+        except Exception:
+            on_end(make_unknown(call, "the node failed", self.load))
+            raise
+        on_end(reply)
+        return reply
+
     async def close(self) -> None:
         """Cancel the calls that are still in progress."""
         await self._tasks.close()
@@ -192,7 +209,7 @@
             or announcement.service != call.service
         ):
             return self._reject(call, "target is not serving", leaving=True)
-        if read_clock() < self._unreachable_until:
+        if self._reachability.is_paused():
             return self._reject(call, "target is unreachable", leaving=True)
         return None
 
@@ -220,7 +237,7 @@
             at_most_once=call.semantics is Semantics.AT_MOST_ONCE,
             timeout_s=max(0.0, ticket.deadline - read_clock()),
         )
-        self._connect_failures = 0
+        self._reachability.record_connection()
         return PooledConnection(lifetime, connection)
 
     async def _run_admitted(
@@ -242,20 +259,19 @@
         self._wake(self._queue.next_changes(now))
 
     def _record_running(self, kind: CallKind) -> None:
-        running = self._queue.running_of(kind)
-        self._pressure.record_running(kind, running, read_clock())
+        self._pressure.record_running(kind, self._queue.running_of(kind), read_clock())
 
     def _update_limits(self, now: float) -> None:
         if self._pressure.update(hold_s=self._queue.longest_hold_s, now=now):
             self._wake(self._queue.next_changes(now))
 
-    def _find_pressure(self, ticket: Ticket) -> float:
-        own = compute_pressure(
-            ticket.started_at - ticket.arrived_at, ticket.objective_s
-        )
-        return max(own, self._pressure.pressure_for_callers(ticket.kind))
+    def _load_after(self, ticket: Ticket) -> TargetLoad:
+        waited_s = ticket.started_at - ticket.arrived_at
+        own = compute_pressure(waited_s, ticket.objective_s)
+        called = self._pressure.pressure_for_callers(ticket.kind)
+        return self._describe_load(max(own, called))
 
-    def _describe_load(self, pressure: float) -> TargetLoad:
+    def _describe_load(self, pressure: float = 0.0) -> TargetLoad:
         now = read_clock()
         return TargetLoad(
             self._queue.running,
@@ -282,12 +298,13 @@
                 matches=match_response(call.call_id, names=self._headers),
                 timeout_s=left_s,
             )
-        except TimeoutError:
-            load = self._describe_load(self._find_pressure(ticket))
-            return self._make_unknown(call, "no answer within the time left", load)
-        except (ConnectionLostError, HttpError, MismatchedResponseError) as error:
-            load = self._describe_load(self._find_pressure(ticket))
-            return self._make_unknown(call, str(error), load)
+        except (
+            TimeoutError,
+            ConnectionLostError,
+            HttpError,
+            MismatchedResponseError,
+        ) as error:
+            return make_unknown(call, str(error), self._load_after(ticket))
         self._metrics.target_latency.observe(read_clock() - started)
         result = classify_response(
             response,
@@ -309,10 +326,10 @@
         result: CallResult,
         ticket: Ticket,
     ) -> ForwardReply:
-        load = self._describe_load(self._find_pressure(ticket))
+        load = self._load_after(ticket)
         if result.outcome is not ForwardOutcome.ANSWERED:
             if response.status == HTTPStatus.MISDIRECTED_REQUEST:
-                self._record_unreachable("another target has the address")
+                self._reachability.record_failure("another target has the address")
             return make_failure(call, result.outcome, result.reason, load)
         return make_answer(call, response, load)
 
@@ -359,19 +376,6 @@
 
         self._decisions.write(Decision.CALL_CANCELLED, make_detail)
 
-    def _make_unknown(
-        self, call: ForwardRequest, reason: str, load: TargetLoad
-    ) -> ForwardReply:
-        return make_failure(call, ForwardOutcome.UNKNOWN, reason, load)
-
-    def _record_unreachable(self, reason: str) -> None:
-        self._connect_failures += 1
-        if self._connect_failures >= MAX_CONNECT_FAILURES:
-            self._unreachable_until = read_clock() + UNREACHABLE_PAUSE_S
-            logger.bind(failures=self._connect_failures, reason=reason).warning(
-                "target: The target is unreachable."
-            )
-
     def _handle_change(self, announcement: Announcement) -> None:
         logger.bind(
             instance=announcement.instance,
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target_lifetime.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target_lifetime.py
@@ -2,10 +2,18 @@
 
 from typing import NamedTuple
 
+from loguru import logger
+
 from endivebeam_fleet import Announcement
 from endivebeam_http import Connect, TargetConnection, TargetPool, connect_stream
 from endivebeam_model import Address
 
+from ._clock import read_clock
+
+# Consecutive connection failures after which the target counts as unreachable.
+MAX_CONNECT_FAILURES = 2
+UNREACHABLE_PAUSE_S = 0.5
+
 
 class TargetLifetime(NamedTuple):
     """The target's instance and the connections to it."""
@@ -21,6 +29,35 @@
     connection: TargetConnection
 
 
+class TargetReachability:
+    """Whether connections to the target fail, so that calls are rejected at once."""
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._paused_until = 0.0
+
+    def is_paused(self) -> bool:
+        """Return whether the target gets no calls for now."""
+        return read_clock() < self._paused_until
+
+    def end_pause(self) -> None:
+        """Send calls again, because the target announced itself."""
+        self._paused_until = 0.0
+
+    def record_connection(self) -> None:
+        """Record a connection that could be used."""
+        self._failures = 0
+
+    def record_failure(self, reason: str) -> None:
+        """Record that the target could not be connected to."""
+        self._failures += 1
+        if self._failures >= MAX_CONNECT_FAILURES:
+            self._paused_until = read_clock() + UNREACHABLE_PAUSE_S
+            logger.bind(failures=self._failures, reason=reason).warning(
+                "target: The target is unreachable."
+            )
+
+
 def start_lifetime(announcement: Announcement) -> TargetLifetime:
     """Return a new lifetime of the target, without connections yet."""
     pool = TargetPool(connect=_make_connect(announcement.address))
--- a/packages/endivebeam-wire/src/endivebeam_wire/_base.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_base.py
@@ -6,7 +6,7 @@
 
 PROTOCOL_VERSION = 1
 # Version of the protocol between sidecar nodes.
-SIDECAR_PROTOCOL_VERSION = 2
+SIDECAR_PROTOCOL_VERSION = 3
 MAX_BODY_BYTES = 1 << 20
 MAX_FRAME_BYTES = MAX_BODY_BYTES + (64 << 10)
 MAX_HEADERS = 128
--- a/packages/endivebeam-wire/src/endivebeam_wire/_fleet_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_fleet_messages.py
@@ -26,12 +26,17 @@
 
 
 class Hello(PeerMessage, frozen=True, kw_only=True, tag=1):
-    """First message that each side of a stream sends."""
+    """First message that each side of a stream sends.
+
+    ``process_token`` differs between the processes that a node runs one after the
+    other, or is 0.
+    """
 
     protocol: int
     node_id: NodeId
     incarnation: int
     domain: DomainName
+    process_token: int = 0
 
 
 class Heartbeat(PeerMessage, frozen=True, kw_only=True, tag=2):
--- a/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_messages.py
@@ -42,6 +42,7 @@
     ConfigRequest,
     ForwardReply,
     ForwardRequest,
+    OutcomeQuery,
     SyncReply,
     SyncRequest,
     TokenReply,
@@ -62,6 +63,7 @@
     | SnapshotRequest
     | WriteCountsRequest
     | ForwardRequest
+    | OutcomeQuery
     | SyncRequest
     | ConfigRequest
     | TokenRequest
--- a/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
@@ -62,7 +62,8 @@
     until the final response is due. ``internal`` calls are made by a target while
     it runs a request. ``shed_order`` ranks the other calls from 0, shed last, to 1,
     shed first. A lower ``rank`` is more urgent. ``objective_ms`` is the latency
-    objective of the route.
+    objective of the route. ``send_id`` is unique to this send of an at-most-once call
+    and 0 for other calls.
     """
 
     request_id: int
@@ -79,6 +80,20 @@
     shed_order: float
     budget_ms: int
     objective_ms: int
+    send_id: int = 0
+
+
+class OutcomeQuery(PeerMessage, frozen=True, kw_only=True, tag=68):
+    """Requests the outcome of an at-most-once call whose stream was lost.
+
+    ``process_token`` is that of the process to which the call was sent
+    ``sent_age_ms`` ago. The reply is a ``ForwardReply``, once the call has ended.
+    """
+
+    request_id: int
+    send_id: int
+    process_token: int
+    sent_age_ms: int
 
 
 class ForwardReply(PeerMessage, frozen=True, kw_only=True, tag=61):
