Admit a part of the requests whose chains overloaded services cannot finish

The regression took calls for each second of running time; when the called service is slow the callers run longer, and the calls were put down to the other kind. It counts runs now, which make the same calls however long they take. - A limit of running requests with a floor of 8% of the slots never took hold: the calls of one request may need far more of a deep service than of the first one, and in a large fleet a target runs less than one request of a kind at a time. A part of the arriving requests is admitted instead, and a request shed so isn't offered to the other targets of the service, which would shed it for the same reason. - Pressure reached the first service two seconds late: each service passed it on at the end of an interval, and it told how long past calls had waited. Replies are averaged over 0.15 s and tell how long a call would wait now. The admitted part is held while pressure falls and grows more carefully near the part at which it began last. - Requests that the scarce service runs itself waited behind all nested calls. A kind that is rejected much more often than the others goes first.

The tests of the limits are replaced by tests of the admitted part, one for one.

--- a/benchmarks/call_pressure.py
+++ b/benchmarks/call_pressure.py
@@ -118,9 +118,7 @@
 
     def _make_target(self, slots: int) -> Target:
         pressure = CallPressure(now=0.0)
-        pressure.configure(slots=slots)
-        limit_of = pressure.limit if self._uses_pressure else _no_limit
-        queue = AdmissionQueue(limit_of=limit_of)
+        queue = AdmissionQueue()
         queue.configure(slots=slots, cold_left_s=0.0, now=0.0)
         return Target(queue, pressure)
 
@@ -132,8 +130,7 @@
         target = self._choose_target(self._fronts[kind])
 
         def record_running() -> None:
-            running = target.queue.running_of(kind)
-            target.pressure.record_running(kind, running, self.scheduler.now)
+            target.pressure.record_running(kind, target.queue.running_of(kind))
 
         def on_start(ticket: Ticket) -> None:
             record_running()
@@ -160,6 +157,8 @@
             outcome.good += counted and good and in_time
             outcome.wasted += counted and not good
 
+        if self._uses_pressure and not target.pressure.admits(kind):
+            return
         self._admit(target, kind, OBJECTIVE_S, BUDGET_S, on_start, lambda: None)
 
     def _call_deep(
@@ -181,15 +180,16 @@
             )
 
         def finish(ticket: Ticket) -> None:
-            waited_s = ticket.started_at - ticket.arrived_at
-            caller.pressure.record_reply(compute_pressure(waited_s, DEEP_OBJECTIVE_S))
-            target.queue.release(ticket, self.scheduler.now, ran_to_end=True)
+            now = self.scheduler.now
+            pressure = compute_pressure(target.queue.backlog_s(now), DEEP_OBJECTIVE_S)
+            caller.pressure.record_reply(pressure, now)
+            target.queue.release(ticket, now, ran_to_end=True)
             self._apply_changes(target)
             self._update_limits(caller)
             self._call_deep(caller, kind, remaining - 1, on_end)
 
         def on_reject() -> None:
-            caller.pressure.record_reply(1.0)
+            caller.pressure.record_reply(1.0, self.scheduler.now)
             self._update_limits(caller)
             on_end(False)
 
@@ -252,10 +252,6 @@
         return self._rng.lognormvariate(math.log(mean_s) - 0.125, 0.5)
 
 
-def _no_limit(kind: CallKind) -> float:
-    return math.inf
-
-
 def run_graph(*, load: float, uses_pressure: bool, seed: int) -> Graph:
     """Simulate a load relative to the capacity of the whole deep service."""
     graph = Graph(rng=random.Random(seed), uses_pressure=uses_pressure)
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_admission_queue.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_admission_queue.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from collections.abc import Callable
 
 from ._tickets import CallKind, Ticket, TicketState, WaitingCalls
 
@@ -24,7 +23,39 @@
 INTERNAL_WAIT_FRACTION = 0.5
 INITIAL_HOLD_S = 0.05
 HOLD_EWMA_WEIGHT = 0.05
+# Maximum number of waiting calls of one kind.
 MAX_WAITING = 256
+# Calls count for the served part of their kind for about this long.
+SERVED_WINDOW_S = 3.0
+# A kind whose served part is below this fraction of that of all calls goes first.
+MIN_SERVED_RATIO = 0.8
+
+
+class _ServedPart:
+    """Part of the recent calls that were not rejected."""
+
+    __slots__ = ("_offered", "_rejected", "_updated_at")
+
+    def __init__(self) -> None:
+        self._offered = 0.0
+        self._rejected = 0.0
+        self._updated_at = 0.0
+
+    def record_offer(self, now: float) -> None:
+        """Count a call that arrived; older ones lose weight with time."""
+        weight = math.exp((self._updated_at - now) / SERVED_WINDOW_S)
+        self._updated_at = now
+        self._offered = self._offered * weight + 1.0
+        self._rejected *= weight
+
+    def record_rejection(self) -> None:
+        """Count a call that was rejected."""
+        self._rejected += 1.0
+
+    @property
+    def part(self) -> float:
+        """Calls that were not rejected as a part of the offered ones; 1 without any."""
+        return 1.0 - self._rejected / self._offered if self._offered else 1.0
 
 
 class _Group:
@@ -33,27 +64,24 @@
     The hold time of a call is how long it occupies a slot of the target.
     """
 
-    __slots__ = ("hold_s", "running", "waiting")
+    __slots__ = ("hold_s", "running", "served", "waiting")
 
     def __init__(self) -> None:
         self.running = 0
         self.waiting = WaitingCalls()
         self.hold_s = INITIAL_HOLD_S
-
-
-def _no_limit(kind: CallKind) -> float:
-    return math.inf
+        self.served = _ServedPart()
 
 
 class AdmissionQueue:
     """Queue and concurrency limit of the calls to the local target.
 
-    ``limit_of`` returns how many calls of a kind may run at once, which depends on
-    the load of the services that the target calls for them.
+    Calls of a kind that is rejected much more often than the others start first, so
+    that many calls of one kind cannot starve another.
     """
 
-    def __init__(self, *, limit_of: Callable[[CallKind], float] = _no_limit) -> None:
-        self._limit_of = limit_of
+    def __init__(self) -> None:
+        self._served = _ServedPart()
         self._groups: dict[CallKind, _Group] = {}
         self._warm_limit = 0
         self._cold_limit = 0
@@ -121,29 +149,32 @@
 
     def expected_wait_s(self, now: float, urgency: float, kind: CallKind) -> float:
         """Estimate the wait in seconds of a call of that urgency and kind."""
-        groups = self._groups.values()
+        own = self._group(kind)
+        groups = (own,) if self._is_underserved(own) else self._groups.values()
         ahead = sum(group.waiting.count_ahead(urgency) for group in groups)
         limit = max(1, self.limit(now))
-        excess = self.running + ahead + 1 - limit
-        wait_s = max(0.0, excess * self.hold_s / limit)
-        kind_limit = self._limit_of(kind)
-        if math.isinf(kind_limit):
-            return wait_s
-        group = self._group(kind)
-        ahead_in_group = group.waiting.count_ahead(urgency)
-        excess_in_group = group.running + ahead_in_group + 1 - kind_limit
-        return max(wait_s, excess_in_group * group.hold_s / kind_limit)
+        excess = self._running + ahead + 1 - limit
+        return max(0.0, excess * self.hold_s / limit)
+
+    def backlog_s(self, now: float) -> float:
+        """Estimate the wait in seconds of a call behind all that run or wait."""
+        limit = max(1, self.limit(now))
+        excess = self._running + self._waiting + 1 - limit
+        return max(0.0, excess * self.hold_s / limit)
 
     def arrive(self, ticket: Ticket, now: float) -> None:
         """Start, queue or reject a call, and set its state accordingly."""
         group = self._group(ticket.kind)
+        group.served.record_offer(now)
+        self._served.record_offer(now)
         ticket.latest_start = self._latest_start(ticket, group)
-        if not group.waiting and self._has_room(ticket.kind, group, now):
+        if not group.waiting and self._has_room(now):
             self._start(ticket, group, now)
             return
         expected_s = self.expected_wait_s(now, ticket.urgency, ticket.kind)
-        if now + expected_s > ticket.latest_start or self._waiting >= MAX_WAITING:
-            ticket.state = TicketState.REFUSED
+        is_full = len(group.waiting) >= MAX_WAITING
+        if is_full or now + expected_s > ticket.latest_start:
+            self._reject(ticket, group)
             return
         group.waiting.add(ticket)
         self._waiting += 1
@@ -174,7 +205,7 @@
             group.waiting.pop_first()
             self._waiting -= 1
             if now > ticket.latest_start:
-                ticket.state = TicketState.REFUSED
+                self._reject(ticket, group)
             else:
                 self._start(ticket, group, now)
             changed.append(ticket)
@@ -194,16 +225,20 @@
 
     def _next_ticket(self, now: float) -> Ticket | None:
         """Return the most urgent call that may start or is overdue."""
+        has_room = self._has_room(now)
         ready = [
-            ticket
-            for kind, group in self._groups.items()
+            (not self._is_underserved(group), ticket.urgency, ticket)
+            for group in self._groups.values()
             if (ticket := group.waiting.first()) is not None
-            and (now > ticket.latest_start or self._has_room(kind, group, now))
+            and (has_room or now > ticket.latest_start)
         ]
-        return min(ready, key=_urgency, default=None)
+        return min(ready, key=_sort_key)[2] if ready else None
 
-    def _has_room(self, kind: CallKind, group: _Group, now: float) -> bool:
-        return self._running < self.limit(now) and group.running < self._limit_of(kind)
+    def _has_room(self, now: float) -> bool:
+        return self._running < self.limit(now)
+
+    def _is_underserved(self, group: _Group) -> bool:
+        return group.served.part < MIN_SERVED_RATIO * self._served.part
 
     def _latest_start(self, ticket: Ticket, group: _Group) -> float:
         if ticket.kind.internal:
@@ -219,6 +254,11 @@
         self._running += 1
         self._rank_sum += ticket.rank
 
+    def _reject(self, ticket: Ticket, group: _Group) -> None:
+        ticket.state = TicketState.REFUSED
+        group.served.record_rejection()
+        self._served.record_rejection()
+
     def _group(self, kind: CallKind) -> _Group:
         group = self._groups.get(kind)
         if group is None:
@@ -230,5 +270,5 @@
     return max(1, int(slots * fraction)) if slots else 0
 
 
-def _urgency(ticket: Ticket) -> float:
-    return ticket.urgency
+def _sort_key(ready: tuple[bool, float, Ticket]) -> tuple[bool, float]:
+    return ready[:2]
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
@@ -1,12 +1,16 @@
 """Backpressure from busy services along the call graph.
 
 A call that is rejected deep in a call graph wastes the work of every call above it.
-Each target's node therefore reports with every response how long the call waited
-there, and forwards the pressure of the services that its target calls. Where a
-request enters the graph, the node beside the first target reduces the number of
-running requests under pressure, so that requests wait or are rejected before any
-work is done for them. Requests that are shed first are limited under light pressure
-already, those that are shed last only under heavy pressure.
+Each target's node therefore reports with every response how long a call would wait
+there now, and forwards the pressure of the services that its target calls. Where a
+request enters the graph, the node beside the first target admits only a part of the
+requests under pressure, before any work is done for them. Requests that are shed first
+are limited under light pressure already, those that are shed last only under heavy
+pressure.
+
+The limit is a part of the arriving requests, not a number of running ones: the calls of
+one request may need far more of a deep service than of the first one, and in a large
+fleet each target runs less than one request of a kind at a time.
 """
 
 import math
@@ -15,27 +19,38 @@
 from ._call_rates import CallRateEstimator
 from ._tickets import CallKind
 
-# Waits at a target as fractions of the call's objective: pressure rises from 0 at the
-# first to 1 at the second.
-NO_PRESSURE_WAIT = 0.15
+# Expected waits at a target as fractions of the call's objective: pressure rises from 0
+# at the first to 1 at the second.
+NO_PRESSURE_WAIT = 0.08
 FULL_PRESSURE_WAIT = 0.55
-# Minimum time over which responses are collected before a limit changes.
+# Minimum time between two changes of the admitted parts.
 INTERVAL_S = 0.25
-# Up to this pressure a limit may grow.
+# Time over which the pressures of replies are averaged, and the least weight of one.
+SMOOTHING_S = 0.15
+MIN_WEIGHT = 0.01
+# Up to this pressure the admitted part may grow.
 LOW_PRESSURE = 0.02
-GROWTH_FRACTION = 0.1
-MIN_LIMIT = 2.0
-# Fraction of a target's slots that each kind of request keeps under any pressure, so
-# that no kind is starved.
-MIN_LIMIT_FRACTION = 0.08
+# Factor by which full pressure reduces the admitted part in one interval.
+FULL_PRESSURE_FACTOR = 0.5
+# Pressure below this fraction of that of the interval before is falling.
+FALLING_FRACTION = 0.9
+# The admitted part grows by these fractions in one interval; more carefully above this
+# fraction of the part at which pressure began last.
+FAST_GROWTH = 0.2
+CAREFUL_GROWTH = 0.05
+NEAR_CEILING = 0.85
+# Intervals without pressure after which the careful growth has doubled.
+CALM_INTERVALS = 4.0
+# Each kind of request keeps this part under any pressure, so that none is starved.
+MIN_ADMITTED = 0.1
 # Pressure up to this does not limit the requests that are shed last.
-LAST_SHED_TOLERANCE = 0.5
+LAST_SHED_TOLERANCE = 0.8
 
 
 def compute_pressure(wait_s: float, objective_s: float) -> float:
-    """Return the pressure from 0 to 1 for a wait at a target.
+    """Return the pressure from 0 to 1 for an expected wait at a target.
 
-    >>> [compute_pressure(wait_s, 1.0) for wait_s in (0.1, 0.35, 1.0)]
+    >>> [compute_pressure(wait_s, 1.0) for wait_s in (0.08, 0.315, 1.0)]
     [0.0, 0.5, 1.0]
     """
     if objective_s <= 0:
@@ -47,69 +62,112 @@
     return round(min(1.0, (fraction - NO_PRESSURE_WAIT) / span), 3)
 
 
-class _RunStats:
-    """Running time and peak concurrency of a kind in the current interval."""
+class _RunCounts:
+    """Runs of a kind that started and that ended in the current interval."""
 
-    __slots__ = ("_peak", "_run_s", "_running", "_updated_at")
+    __slots__ = ("ended", "running", "started")
 
     def __init__(self) -> None:
-        self._running = 0
-        self._peak = 0
-        self._run_s = 0.0
-        self._updated_at = 0.0
+        self.running = 0
+        self.started = 0
+        self.ended = 0
 
-    def set_running(self, running: int, now: float) -> None:
-        self._run_s += self._running * (now - self._updated_at)
-        self._updated_at = now
-        self._running = running
-        self._peak = max(self._peak, running)
+    def set_running(self, running: int) -> None:
+        change = running - self.running
+        self.running = running
+        if change > 0:
+            self.started += change
+        else:
+            self.ended -= change
 
-    def collect_run_s(self, now: float) -> float:
-        """Return the total running time of the calls in seconds and reset it."""
-        self.set_running(self._running, now)
-        run_s, self._run_s = self._run_s, 0.0
-        return run_s
+    def collect(self) -> float:
+        """Return the number of runs and reset it; a part of one counts half."""
+        runs = (self.started + self.ended) / 2
+        self.started = self.ended = 0
+        return runs
 
-    def collect_peak(self) -> int:
-        """Return the peak number of running calls and reset it."""
-        peak, self._peak = self._peak, self._running
-        return peak
+
+class _Admission:
+    """Admitted part of the requests of a kind, and the credit towards the next one.
+
+    ``ceiling`` is the part that was admitted when pressure began last.
+    """
+
+    __slots__ = ("_calm_intervals", "_excess", "ceiling", "credit", "part")
+
+    def __init__(self) -> None:
+        self.part = 1.0
+        self.ceiling = 1.0
+        self.credit = 0.0
+        self._excess = 0.0
+        self._calm_intervals = 0
+
+    def adapt(self, excess: float) -> None:
+        """Adapt the admitted part at the end of an interval."""
+        before, self._excess = self._excess, excess
+        if excess <= LOW_PRESSURE:
+            self._grow()
+            return
+        self._calm_intervals = 0
+        if before <= LOW_PRESSURE:
+            self.ceiling = self.part
+        if excess >= FALLING_FRACTION * before:
+            # Falling pressure shows that the part is low enough already.
+            factor = 1.0 - excess * (1.0 - FULL_PRESSURE_FACTOR)
+            self.part = max(MIN_ADMITTED, self.part * factor)
+
+    def _grow(self) -> None:
+        self._calm_intervals += 1
+        growth = FAST_GROWTH
+        if self.part > NEAR_CEILING * self.ceiling:
+            careful = CAREFUL_GROWTH * (1.0 + self._calm_intervals / CALM_INTERVALS)
+            growth = min(growth, careful)
+        self.part = min(1.0, self.part * (1.0 + growth))
 
 
 class CallPressure:
-    """Pressure reported to a target's own calls, and the request limits it causes."""
+    """Pressure reported to a target's own calls, and what it admits under pressure."""
 
     def __init__(self, *, now: float) -> None:
         self.pressure = 0.0
-        self._min_limit = MIN_LIMIT
-        self._limits: dict[CallKind, float] = {}
+        self._admissions: dict[CallKind, _Admission] = defaultdict(_Admission)
         self._estimator = CallRateEstimator()
         self._interval_started_at = now
         self._calls = 0
-        self._responses = 0
-        self._pressure_sum = 0.0
-        self._run_stats: dict[CallKind, _RunStats] = defaultdict(_RunStats)
+        self._replied_at = now
+        self._runs: dict[CallKind, _RunCounts] = defaultdict(_RunCounts)
 
-    def limit(self, kind: CallKind) -> float:
-        """Return how many requests of a kind may run; infinite without a limit."""
-        return self._limits.get(kind, math.inf)
+    def admitted_part(self, kind: CallKind) -> float:
+        """Return which part of the requests of a kind is admitted, from 0 to 1."""
+        return self._admissions[kind].part
 
-    def configure(self, *, slots: int) -> None:
-        """Set the number of the target's slots."""
-        self._min_limit = max(MIN_LIMIT, slots * MIN_LIMIT_FRACTION)
+    def admits(self, kind: CallKind) -> bool:
+        """Return whether to admit an arriving call, which counts as one.
+
+        The admitted calls are spread evenly over the arriving ones.
+        """
+        admission = self._admissions[kind]
+        if admission.part >= 1.0:
+            return True
+        admission.credit += admission.part
+        if admission.credit < 1.0:
+            return False
+        admission.credit -= 1.0
+        return True
 
     def record_call(self) -> None:
         """Count a call made by the target."""
         self._calls += 1
 
-    def record_reply(self, pressure: float) -> None:
+    def record_reply(self, pressure: float, now: float) -> None:
         """Record the pressure reported with the response to a call of the target."""
-        self._responses += 1
-        self._pressure_sum += pressure
+        weight = 1.0 - math.exp((self._replied_at - now) / SMOOTHING_S - MIN_WEIGHT)
+        self._replied_at = now
+        self.pressure += weight * (pressure - self.pressure)
 
-    def record_running(self, kind: CallKind, running: int, now: float) -> None:
+    def record_running(self, kind: CallKind, running: int) -> None:
         """Record the number of running calls of a kind after a change."""
-        self._run_stats[kind].set_running(running, now)
+        self._runs[kind].set_running(running)
 
     def pressure_for_callers(self, kind: CallKind) -> float:
         """Return the pressure to report to the callers of a kind of call."""
@@ -120,41 +178,27 @@
         return now - self._interval_started_at >= INTERVAL_S
 
     def update(self, *, hold_s: float, now: float) -> bool:
-        """Adapt the limits at the end of an interval; return whether one ended.
+        """Adapt the admitted parts at the end of an interval; return whether one ended.
 
         ``hold_s`` is the hold time of a request in seconds. An interval is at least
-        as long, because a change of a limit takes that time to affect the called
-        services.
+        as long, because a change takes that time to affect the called services.
         """
         if now - self._interval_started_at < max(INTERVAL_S, hold_s):
             return False
-        run_s = {
-            kind: stats.collect_run_s(now) for kind, stats in self._run_stats.items()
-        }
-        self._estimator.add_interval(calls=self._calls, run_s=run_s)
-        self.pressure = self._pressure_sum / self._responses if self._responses else 0.0
-        for kind, stats in self._run_stats.items():
+        runs = {kind: counts.collect() for kind, counts in self._runs.items()}
+        self._estimator.add_interval(calls=self._calls, runs=runs)
+        for kind in runs:
             if not kind.internal:
-                self._adapt(kind, stats.collect_peak())
+                self._adapt(kind)
         self._interval_started_at = now
-        self._calls = self._responses = 0
-        self._pressure_sum = 0.0
+        self._calls = 0
         return True
 
-    def _adapt(self, kind: CallKind, peak: int) -> None:
-        limit = self._limits.get(kind, math.inf)
-        excess = self._excess_pressure(kind)
-        if excess > LOW_PRESSURE:
-            base = min(limit, float(peak))
-            self._limits[kind] = max(self._min_limit, base * (1.0 - excess / 2))
-        elif peak < limit / 2:
-            # A limit that is far from reached has no effect.
-            self._limits.pop(kind, None)
-        elif math.isfinite(limit):
-            self._limits[kind] = limit + max(1.0, limit * GROWTH_FRACTION)
+    def _adapt(self, kind: CallKind) -> None:
+        self._admissions[kind].adapt(self._excess_pressure(kind))
 
     def _excess_pressure(self, kind: CallKind) -> float:
         if not self._estimator.makes_calls(kind):
             return 0.0
         tolerance = LAST_SHED_TOLERANCE * (1.0 - kind.shed_order)
-        return max(0.0, self.pressure - tolerance) / (1.0 - tolerance)
+        return max(0.0, self.pressure - tolerance)
--- a/packages/endivebeam-fleet/tests/test_admission_queue.py
+++ b/packages/endivebeam-fleet/tests/test_admission_queue.py
@@ -166,3 +166,32 @@
             queue.arrive(ticket, 1.0)
         assert set(map(id, queue.reject_all())) == set(map(id, tickets))
         assert queue.waiting == 0
+
+
+class TestServedPart:
+    def test_few_calls_of_a_kind_are_not_starved_by_many_of_another(self):
+        """Guards against bookings that always wait behind the calls of a busy graph."""
+        queue = make_queue()
+        now, served, offered = 1.0, 0, 0
+        running: list[Ticket] = []
+        waiting: list[Ticket] = []
+        for step in range(4000):
+            now += 0.002
+            for _ in range(1 + step % 2):
+                waiting.append(make_ticket(now, internal=True))
+                queue.arrive(waiting[-1], now)
+            if step % 10 == 0 and step > 1000:
+                offered += 1
+                waiting.append(make_ticket(now, rank=2, objective_s=0.2))
+                queue.arrive(waiting[-1], now)
+            running += [t for t in waiting if t.state is TicketState.RUNNING]
+            waiting = [t for t in waiting if t.state is TicketState.WAITING]
+            if running:
+                queue.release(running.pop(0), now, ran_to_end=True)
+                started = queue.next_changes(now)
+                running += [t for t in started if t.state is TicketState.RUNNING]
+                waiting = [t for t in waiting if t.state is TicketState.WAITING]
+            served += sum(
+                1 for t in running if not t.kind.internal and t.started_at == now
+            )
+        assert served > 0.4 * offered
--- a/packages/endivebeam-fleet/tests/test_pressure.py
+++ b/packages/endivebeam-fleet/tests/test_pressure.py
@@ -1,19 +1,15 @@
-"""Tests of backpressure and the limits that it sets for requests."""
+"""Tests of backpressure and the part of the requests that is admitted under it."""
 
-import math
+import itertools
 import random
 
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from endivebeam_fleet import (
-    AdmissionQueue,
     CallKind,
     CallPressure,
     CallRateEstimator,
-    Ticket,
-    TicketState,
 )
 
 INTERNAL = CallKind(internal=True)
@@ -30,15 +26,16 @@
     running: int = 40,
     kinds: tuple[CallKind, ...] = (FIRST_SHED,),
 ) -> float:
-    """Simulate an interval in which each running call makes one call.
+    """Simulate an interval in which each running call ends and makes one call.
 
     Returns the end of the interval.
     """
     for kind in kinds:
-        pressure.record_running(kind, running, now)
-        for _ in range(running):
+        pressure.record_running(kind, running)
+        for step in range(running):
             pressure.record_call()
-            pressure.record_reply(reported)
+            pressure.record_reply(reported, now + HOLD_S * step / running)
+        pressure.record_running(kind, 0)
     now += HOLD_S
     assert pressure.update(hold_s=HOLD_S, now=now)
     return now
@@ -61,12 +58,12 @@
         rng = random.Random(seed)
         estimator = CallRateEstimator()
         for _ in range(200):
-            run_s = {
-                INTERNAL: max(0.0, rng.gauss(2.0, 0.6)),
-                FIRST_SHED: max(0.0, rng.gauss(1.5, 0.5)),
+            runs = {
+                INTERNAL: max(0.0, rng.gauss(20.0, 6.0)),
+                FIRST_SHED: max(0.0, rng.gauss(15.0, 5.0)),
             }
-            calls = max(0, round(rng.gauss(5 * run_s[caller], 2.0)))
-            estimator.add_interval(calls=calls, run_s=run_s)
+            calls = max(0, round(rng.gauss(runs[caller] / 2, 2.0)))
+            estimator.add_interval(calls=calls, runs=runs)
         other = FIRST_SHED if caller == INTERNAL else INTERNAL
         assert estimator.makes_calls(caller)
         assert not estimator.makes_calls(other)
@@ -75,80 +72,117 @@
         rng = random.Random(1)
         estimator = CallRateEstimator()
         for _ in range(200):
-            run_s = {INTERNAL: rng.uniform(0, 3), FIRST_SHED: rng.uniform(0, 3)}
-            estimator.add_interval(calls=round(4 * sum(run_s.values())), run_s=run_s)
+            runs = {INTERNAL: rng.uniform(0, 30), FIRST_SHED: rng.uniform(0, 30)}
+            estimator.add_interval(calls=round(sum(runs.values()) / 2), runs=runs)
         assert estimator.makes_calls(INTERNAL)
         assert estimator.makes_calls(FIRST_SHED)
 
+    def test_estimate_holds_while_called_service_is_slow(self):
+        """Guards against blame for a kind whose runs don't last longer.
 
-class TestLimit:
-    def test_is_infinite_without_pressure(self):
+        The runs of the kind that makes calls last ten times as long, those of the other
+        kind as long as before. Pressure was no longer passed on to the callers.
+        """
+        rng = random.Random(1)
+        estimator = CallRateEstimator()
+        for interval in range(300):
+            waits = interval >= 200
+            started = 100 + rng.gauss(0, 10)
+            runs = {INTERNAL: started / (4 if waits else 1), LAST_SHED: 45.0}
+            runs[LAST_SHED] += rng.gauss(0, 5)
+            calls = max(0, round(4 * runs[INTERNAL] + rng.gauss(0, 10)))
+            estimator.add_interval(calls=calls, runs=runs)
+        assert estimator.makes_calls(INTERNAL)
+        assert not estimator.makes_calls(LAST_SHED)
+
+
+class TestAdmittedPart:
+    def test_is_whole_without_pressure(self):
         pressure = CallPressure(now=0.0)
         warm_up(pressure)
-        assert math.isinf(pressure.limit(FIRST_SHED))
+        assert pressure.admitted_part(FIRST_SHED) == 1.0
+        assert all(pressure.admits(FIRST_SHED) for _ in range(100))
 
     def test_falls_under_pressure_and_rises_after_it(self):
         pressure = CallPressure(now=0.0)
         now = warm_up(pressure)
         now = run_interval(pressure, now, reported=0.5)
-        reduced = pressure.limit(FIRST_SHED)
-        assert reduced < 40
-        now = run_interval(pressure, now, reported=0.0, running=int(reduced))
-        assert pressure.limit(FIRST_SHED) > reduced
+        reduced = pressure.admitted_part(FIRST_SHED)
+        assert reduced < 1.0
+        for _ in range(3):
+            now = run_interval(pressure, now, reported=0.0)
+        assert pressure.admitted_part(FIRST_SHED) > reduced
+
+    def test_is_held_while_pressure_falls(self):
+        """Guards against overshoot while the calls of admitted requests still wait."""
+        pressure = CallPressure(now=0.0)
+        now = warm_up(pressure)
+        now = run_interval(pressure, now, reported=1.0)
+        reduced = pressure.admitted_part(FIRST_SHED)
+        run_interval(pressure, now, reported=0.3)
+        assert pressure.admitted_part(FIRST_SHED) == reduced
+
+    def test_grows_carefully_near_the_part_at_which_pressure_began(self):
+        far, near = [], []
+        for reported in (0.5, 0.6, 0.7, 0.8, 0.9):
+            pressure = CallPressure(now=0.0)
+            now = warm_up(pressure)
+            now = run_interval(pressure, now, reported=reported)
+            now = run_interval(pressure, now, reported=0.0)
+            parts = [pressure.admitted_part(FIRST_SHED)]
+            while parts[-1] < 1.0:
+                now = run_interval(pressure, now, reported=0.0)
+                parts.append(pressure.admitted_part(FIRST_SHED))
+            for before, after in itertools.pairwise(parts):
+                if after < 1.0:
+                    (far if before < 0.85 else near).append(after / before)
+        assert min(far) > max(near)
+
+    def test_admitted_requests_are_spread_over_the_arriving_ones(self):
+        pressure = CallPressure(now=0.0)
+        run_interval(pressure, warm_up(pressure), reported=1.0)
+        part = pressure.admitted_part(FIRST_SHED)
+        admitted = [pressure.admits(FIRST_SHED) for _ in range(1000)]
+        for start in range(0, 1000, 100):
+            assert abs(sum(admitted[start : start + 100]) - 100 * part) <= 1.0
 
-    def test_urgent_requests_are_limited_only_under_heavy_pressure(self):
+    def test_urgent_requests_are_shed_only_under_heavy_pressure(self):
         kinds = (FIRST_SHED, LAST_SHED)
         pressure = CallPressure(now=0.0)
         now = warm_up(pressure, kinds)
         now = run_interval(pressure, now, reported=0.4, kinds=kinds)
-        assert math.isinf(pressure.limit(LAST_SHED))
-        assert math.isfinite(pressure.limit(FIRST_SHED))
+        assert pressure.admitted_part(LAST_SHED) == 1.0
+        assert pressure.admitted_part(FIRST_SHED) < 1.0
         run_interval(pressure, now, reported=1.0, kinds=kinds)
-        assert math.isfinite(pressure.limit(LAST_SHED))
+        assert pressure.admitted_part(LAST_SHED) < 1.0
 
     def test_no_kind_is_starved(self):
         pressure = CallPressure(now=0.0)
-        pressure.configure(slots=100)
         now = warm_up(pressure)
         for _ in range(50):
             now = run_interval(pressure, now, reported=1.0)
-        assert pressure.limit(FIRST_SHED) >= 8
+        assert sum(pressure.admits(FIRST_SHED) for _ in range(100)) >= 9
 
-    def test_internal_calls_are_never_limited(self):
-        # Guards against wasting the work already done for their requests.
+    def test_internal_calls_are_never_shed(self):
+        """Guards against wasting the work already done for their requests."""
         pressure = CallPressure(now=0.0)
         now = warm_up(pressure, (INTERNAL,))
         for _ in range(5):
             now = run_interval(pressure, now, reported=1.0, kinds=(INTERNAL,))
-        assert math.isinf(pressure.limit(INTERNAL))
-        assert pressure.pressure_for_callers(INTERNAL) == 1.0
+        assert all(pressure.admits(INTERNAL) for _ in range(100))
+        assert pressure.pressure_for_callers(INTERNAL) > 0.99
 
     def test_does_not_change_again_within_the_hold_time(self):
-        # Guards against overshoot: a limit that changes sooner keeps falling for as
-        # long as the requests admitted before still report pressure.
+        """Guards against overshoot: requests admitted before still report pressure."""
         pressure = CallPressure(now=0.0)
         now = warm_up(pressure)
-        pressure.record_reply(1.0)
+        pressure.record_reply(1.0, now)
         assert not pressure.update(hold_s=2.0, now=now + 1.0)
 
-
-class TestAdmissionUnderLimit:
-    @pytest.mark.parametrize("limit", [1, 3])
-    def test_limits_one_kind_and_not_the_others(self, limit: int):
-        queue = AdmissionQueue(
-            limit_of=lambda k: limit if k == FIRST_SHED else math.inf
-        )
-        queue.configure(slots=20, cold_left_s=0.0, now=0.0)
-        tickets = [
-            Ticket(rank=1, kind=kind, arrived_at=1.0, objective_s=9.0, deadline=9.0)
-            for kind in (FIRST_SHED,) * 5 + (LAST_SHED, INTERNAL)
-        ]
-        for ticket in tickets:
-            queue.arrive(ticket, 1.0)
-        running = [
-            ticket.kind for ticket in tickets if ticket.state is TicketState.RUNNING
-        ]
-        assert running == [FIRST_SHED] * limit + [LAST_SHED, INTERNAL]
-        queue.release(tickets[0], 1.1, ran_to_end=True)
-        (started,) = queue.next_changes(1.1)
-        assert started.kind == FIRST_SHED
+    def test_pressure_is_passed_on_before_the_interval_ends(self):
+        """Guards against a delay of an interval at each service of a chain."""
+        pressure = CallPressure(now=0.0)
+        now = warm_up(pressure)
+        for step in range(20):
+            pressure.record_reply(1.0, now + 0.01 * step)
+        assert pressure.pressure_for_callers(FIRST_SHED) > 0.5
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_attempts.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_attempts.py
@@ -145,7 +145,10 @@
     def _should_retry(self, call: Call, attempt: Attempt) -> bool:
         idempotent = call.route.semantics is Semantics.IDEMPOTENT
         match attempt.outcome:
-            case ForwardOutcome.REFUSED | ForwardOutcome.NOT_EXECUTED:
+            case ForwardOutcome.REFUSED:
+                # Other targets would shed the call for the same reason.
+                return attempt.reply is None or not attempt.reply.shed
+            case ForwardOutcome.NOT_EXECUTED:
                 return True
             case ForwardOutcome.UNKNOWN:
                 return idempotent
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_replies.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_replies.py
@@ -1,5 +1,6 @@
 """Replies to a forwarded call, by what became of it at the target."""
 
+import random
 from collections.abc import Callable
 
 from endivebeam_http import Response
@@ -8,6 +9,7 @@
 from ._target_http import encode_response_fields
 
 MIN_RETRY_AFTER_S = 0.1
+SHED_RETRY_AFTER_S = 1.0
 MAX_REASON_LENGTH = 200
 
 OnEnd = Callable[[ForwardReply], None]
@@ -49,6 +51,21 @@
     return make_failure(call, ForwardOutcome.UNKNOWN, reason, load)
 
 
+def make_shed(call: ForwardRequest, load: TargetLoad) -> ForwardReply:
+    """Return the reply for a call that the services behind the target cannot serve.
+
+    Callers that were rejected together are told to return at different times.
+    """
+    return ForwardReply(
+        request_id=call.request_id,
+        outcome=ForwardOutcome.REFUSED,
+        load=load,
+        reason="the services that the target calls are busy",
+        retry_after_ms=int(SHED_RETRY_AFTER_S * random.uniform(0.5, 1.5) * 1000),
+        shed=True,
+    )
+
+
 def make_rejection(
     call: ForwardRequest, reason: str, load: TargetLoad, *, wait_s: float, leaving: bool
 ) -> ForwardReply:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Coroutine
+from functools import partial
 from http import HTTPStatus
 
 from loguru import logger
@@ -33,8 +34,9 @@
     TargetLoad,
 )
 
+from ._call_details import describe_cancellation, describe_rejection
 from ._clock import read_clock
-from ._decisions import CallRejectionDetail, CancellationDetail, Decision, DecisionLog
+from ._decisions import Decision, DecisionLog
 from ._metrics import SidecarMetrics
 from ._replies import (
     OnEnd,
@@ -43,6 +45,7 @@
     make_cancellation,
     make_failure,
     make_rejection,
+    make_shed,
     make_unknown,
 )
 from ._settings import HeaderNames
@@ -81,7 +84,7 @@
         self._metrics = metrics
         self._on_change = on_change
         self._pressure = CallPressure(now=read_clock())
-        self._queue = AdmissionQueue(limit_of=self._pressure.limit)
+        self._queue = AdmissionQueue()
         self._lifetime: TargetLifetime | None = None
         self._admissions: dict[Ticket, asyncio.Future[None]] = {}
         self._tasks = TaskSet()
@@ -97,8 +100,9 @@
 
     def record_own_reply(self, pressure: float) -> None:
         """Record the pressure that the reply to a call of the target reports."""
-        self._pressure.record_reply(pressure)
-        self._update_limits(read_clock())
+        now = read_clock()
+        self._pressure.record_reply(pressure, now)
+        self._adapt_admission(now)
 
     @property
     def load(self) -> TargetLoad:
@@ -135,7 +139,6 @@
         self._queue.configure(
             slots=announcement.slots, cold_left_s=announcement.cold_left_s, now=now
         )
-        self._pressure.configure(slots=announcement.slots)
         if before is None or shared_fields(before) != shared_fields(announcement):
             self._handle_change(announcement)
 
@@ -211,6 +214,9 @@
             return self._reject(call, "target is not serving", leaving=True)
         if self._reachability.is_paused():
             return self._reject(call, "target is unreachable", leaving=True)
+        if not self._pressure.admits(kind_of(call)):
+            self._log_rejection(call, "the services that the target calls are busy")
+            return make_shed(call, self.load)
         return None
 
     async def _admit(self, ticket: Ticket) -> None:
@@ -255,21 +261,19 @@
         now = read_clock()
         self._queue.release(ticket, now, ran_to_end=answered)
         self._record_running(ticket.kind)
-        self._update_limits(now)
+        self._adapt_admission(now)
         self._wake(self._queue.next_changes(now))
 
     def _record_running(self, kind: CallKind) -> None:
-        self._pressure.record_running(kind, self._queue.running_of(kind), read_clock())
+        self._pressure.record_running(kind, self._queue.running_of(kind))
 
-    def _update_limits(self, now: float) -> None:
-        if self._pressure.may_update(now) and self._pressure.update(
-            hold_s=self._queue.longest_hold_s, now=now
-        ):
-            self._wake(self._queue.next_changes(now))
+    def _adapt_admission(self, now: float) -> None:
+        if self._pressure.may_update(now):
+            self._pressure.update(hold_s=self._queue.longest_hold_s, now=now)
 
     def _load_after(self, ticket: Ticket) -> TargetLoad:
-        waited_s = ticket.started_at - ticket.arrived_at
-        own = compute_pressure(waited_s, ticket.objective_s)
+        backlog_s = self._queue.backlog_s(read_clock())
+        own = compute_pressure(backlog_s, ticket.objective_s)
         called = self._pressure.pressure_for_callers(ticket.kind)
         return self._describe_load(max(own, called))
 
@@ -344,39 +348,21 @@
     def _reject(
         self, call: ForwardRequest, reason: str, *, leaving: bool, pressure: float = 0.0
     ) -> ForwardReply:
-        now = read_clock()
-        wait_s = self._queue.expected_wait_s(now, math.inf, kind_of(call))
-
-        def make_detail() -> CallRejectionDetail:
-            return CallRejectionDetail(
-                id=call.call_id,
-                reason=reason,
-                rank=call.rank,
-                running=self._queue.running,
-                waiting=self._queue.waiting,
-                limit=self._queue.limit(now),
-                hold_ms=int(self._queue.hold_s * 1000),
-                left_ms=call.budget_ms,
-            )
-
-        self._decisions.write(Decision.CALL_REJECTED, make_detail)
+        wait_s = self._queue.expected_wait_s(read_clock(), math.inf, kind_of(call))
+        self._log_rejection(call, reason)
         load = self._describe_load(pressure)
         return make_rejection(call, reason, load, wait_s=wait_s, leaving=leaving)
 
+    def _log_rejection(self, call: ForwardRequest, reason: str) -> None:
+        detail = partial(describe_rejection, call, reason, self._queue)
+        self._decisions.write(Decision.CALL_REJECTED, detail)
+
     def _log_cancellation(
         self, call: ForwardRequest, ticket: Ticket, *, was_sent: bool
     ) -> None:
         self._metrics.cancelled_calls.inc()
-
-        def make_detail() -> CancellationDetail:
-            return CancellationDetail(
-                id=call.call_id,
-                state="running" if was_sent else "waiting",
-                held_ms=int((read_clock() - ticket.arrived_at) * 1000),
-                goes_on=was_sent and call.semantics is Semantics.AT_MOST_ONCE,
-            )
-
-        self._decisions.write(Decision.CALL_CANCELLED, make_detail)
+        detail = partial(describe_cancellation, call, ticket, was_sent=was_sent)
+        self._decisions.write(Decision.CALL_CANCELLED, detail)
 
     def _handle_change(self, announcement: Announcement) -> None:
         logger.bind(
--- a/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
@@ -27,7 +27,7 @@
     """Calls that run at a target or wait for it, and how many may run.
 
     ``makes_calls`` tells whether the target calls other services itself.
-    ``pressure`` is from 0 to 1. It follows from the time that the call waited here,
+    ``pressure`` is from 0 to 1. It follows from the time that a call would wait here,
     or from the services that the target calls if their pressure is higher.
     """
 
@@ -100,7 +100,8 @@
     """Outcome of a forwarded call, with the target's header fields as they are sent on.
 
     ``retry_after_ms`` estimates when the target has free capacity, ``reason`` is for
-    logs, and ``leaving`` means that the node accepts no more calls.
+    logs, and ``leaving`` means that the node accepts no more calls. ``shed`` means that
+    services lack capacity that all targets of this service call.
     """
 
     request_id: int
@@ -112,6 +113,7 @@
     reason: ShortText = ""
     retry_after_ms: int = 0
     leaving: bool = False
+    shed: bool = False
 
 
 class SyncRequest(PeerMessage, frozen=True, kw_only=True, tag=62):
