Take a malformed address for one that cannot be reached

Other operators reported that one malformed message took a process down. It can't do that here, but an announcement or a member record whose host is no address (such as "a..b") raised UnicodeError, or OverflowError on the loop of asyncio, past the handlers of failed connections: every call to that target was told as one that may have run, and the synchronization with peers was restarted each time it met such a record.

The new cases of test_target_client.py fail before. Bytes without sense from a peer end only their stream: a property test of 200 examples, which passed before as well.

--- a/packages/endivebeam-http/src/endivebeam_http/_transport.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_transport.py
@@ -299,7 +299,11 @@
 async def connect_stream(host: str, port: int) -> TcpStream:
     """Open a connection to an IP address; raises ``OSError`` on failure."""
     loop = asyncio.get_running_loop()
-    _, protocol = await loop.create_connection(lambda: _Protocol(None), host, port)
+    try:
+        _, protocol = await loop.create_connection(lambda: _Protocol(None), host, port)
+    except (OverflowError, ValueError) as error:
+        # Addresses come from other machines; some that are malformed raise these.
+        raise OSError(f"not an address: {host!r}, port {port}") from error
     return TcpStream(protocol=protocol)
 
 
--- a/packages/endivebeam-http/tests/test_target_client.py
+++ b/packages/endivebeam-http/tests/test_target_client.py
@@ -196,6 +196,18 @@
             await pool.acquire(at_most_once=True)
 
 
+class TestMalformedAddresses:
+    @pytest.mark.parametrize(
+        ("host", "port"),
+        [("127.0.0.1", 99999), ("127.0.0.1", -1), ("a..b", 80), ("a\0b", 80)],
+    )
+    async def test_connection_is_not_sent(self, host: str, port: int):
+        """Guards against an announcement whose calls fail as if they had run."""
+        pool = TargetPool(connect=lambda: connect_stream(host, port))
+        with pytest.raises(NotSentError):
+            await pool.acquire(at_most_once=True, timeout_s=5.0)
+
+
 class TestLargeBodies:
     async def test_response_may_arrive_before_the_body_is_sent(self, target: Target):
         connection = await target.pool.acquire(at_most_once=False)
--- a/packages/endivebeam-wire/tests/test_direct.py
+++ b/packages/endivebeam-wire/tests/test_direct.py
@@ -305,3 +305,24 @@
         with pytest.raises(StreamLostError):
             await harness.stream.handshake()
         assert harness.closed == 1
+
+
+class TestMalformedBytes:
+    @settings(max_examples=200)
+    @given(st.lists(st.binary(max_size=80), max_size=8), st.booleans())
+    async def test_end_only_their_stream(self, parts: list[bytes], framed: bool):
+        """Guards against an exception in the callback that receives bytes."""
+        harness = await StreamHarness().complete_handshake()
+        request = harness.send_request()
+        await settle()
+        for part in parts:
+            if harness.stream.closed:
+                break
+            header = len(part).to_bytes(4, "big") if framed else b""
+            harness.transport.deliver_bytes(header + part)
+        harness.stream.close()
+        with pytest.raises(StreamLostError):
+            await request
+        assert harness.closed == 1
+        for task in harness.tasks:
+            task.cancel()
