Choose between two targets of the domain without examining the others

A target was also chosen between two full ones while another had room.

Two targets are drawn first; only if neither is usable with room, all are examined as before. The median is computed four times a second.

--- a/packages/endivebeam-routing/src/endivebeam_routing/_router.py
+++ b/packages/endivebeam-routing/src/endivebeam_routing/_router.py
@@ -1,6 +1,7 @@
 """Selection of the target for each call."""
 
-from collections.abc import Callable, Sequence
+import math
+from collections.abc import Sequence
 from enum import Enum
 from random import Random
 from statistics import median
@@ -12,6 +13,10 @@
 
 MAX_PROBES_AT_ONCE = 8
 PROBE_TIMEOUT_S = 1.0
+# The median latency of a group of targets is computed again after this time.
+MEDIAN_PERIOD_S = 0.25
+# Lists of candidates whose targets in the own domain are remembered.
+MAX_REMEMBERED_LISTS = 64
 
 
 class CallOutcome(Enum):
@@ -23,6 +28,25 @@
     UNKNOWN = "unknown"
 
 
+class _OwnGroup:
+    """The candidates in the domain of this node, of one list of candidates."""
+
+    __slots__ = ("candidates", "local", "median_at", "median_latency_s", "members")
+
+    def __init__(
+        self,
+        *,
+        candidates: Sequence[Member],
+        members: list[Member],
+        local: Member | None,
+    ) -> None:
+        self.candidates = candidates
+        self.members = members
+        self.local = local
+        self.median_latency_s: float | None = None
+        self.median_at = -math.inf
+
+
 class Router:
     """Tracks the health of the targets that this node uses and selects among them.
 
@@ -42,16 +66,19 @@
         self._domains = DomainHealth()
         # Targets that no longer serve, kept until their outstanding calls end.
         self._removed: set[NodeId] = set()
+        self._own_groups: dict[int, _OwnGroup] = {}
 
     def choose(self, candidates: Sequence[Member], now: float) -> Member | None:
         """Select a target among the serving targets of a service.
 
         Returns None if no target is usable.
         """
-        group = self._preferred_group(candidates, now)
-        if not group:
-            return None
-        chosen = self._select(group, now)
+        chosen = self._choose_quickly(candidates, now)
+        if chosen is None:
+            group = self._preferred_group(candidates, now)
+            if not group:
+                return None
+            chosen = self._select(group, now)
         self._targets[chosen.node_id].outstanding += 1
         return chosen
 
@@ -150,6 +177,36 @@
                 if member.domain == domain:
                     self._targets[other].restart_ramp(now)
 
+    def _choose_quickly(
+        self, candidates: Sequence[Member], now: float
+    ) -> Member | None:
+        """Select one of two targets of the own domain, or None if neither suits.
+
+        The other targets are not examined, so that a choice costs the same in a domain
+        of any size.
+        """
+        group = self._find_own_group(candidates)
+        pair = self._draw_pair(group.members, group.local)
+        if not pair or not all(self._is_usable(m, now) for m in pair):
+            return None
+        if not any(self._has_spare_slots(m, now) for m in pair):
+            return None
+        if now - group.median_at > MEDIAN_PERIOD_S:
+            group.median_at = now
+            group.median_latency_s = self._median_latency_s(group.members)
+        return self._select_better(pair, group.median_latency_s, now)
+
+    def _find_own_group(self, candidates: Sequence[Member]) -> _OwnGroup:
+        group = self._own_groups.get(id(candidates))
+        if group is None or group.candidates is not candidates:
+            members = [m for m in candidates if m.domain == self._domain]
+            local = next((m for m in members if m.node_id == self._local), None)
+            group = _OwnGroup(candidates=candidates, members=members, local=local)
+            if len(self._own_groups) >= MAX_REMEMBERED_LISTS:
+                self._own_groups.clear()
+            self._own_groups[id(candidates)] = group
+        return group
+
     def _is_usable(self, member: Member, now: float) -> bool:
         health = self._targets.get(member.node_id)
         if health is None:
@@ -192,32 +249,53 @@
         return health.load(now) < health.limit(member.slots, now)
 
     def _select(self, group: Sequence[Member], now: float) -> Member:
-        # Power of two choices; the target of this node is always one of the two.
-        if len(group) == 1:
-            return group[0]
-        score = self._scorer(group, now)
         local = next((m for m in group if m.node_id == self._local), None)
-        if local is not None:
-            other = self._rng.choice([m for m in group if m is not local])
-            return local if score(local) <= score(other) else other
-        first, second = self._rng.sample(group, 2)
-        return first if score(first) <= score(second) else second
+        pair = self._draw_pair(group, local)
+        return self._select_better(pair, self._median_latency_s(group), now)
+
+    def _draw_pair(
+        self, group: Sequence[Member], local: Member | None
+    ) -> Sequence[Member]:
+        # Power of two choices; the target of this node is always one of the two.
+        if len(group) <= 1:
+            return group
+        if local is None:
+            return self._rng.sample(group, 2)
+        other = local
+        while other is local:
+            other = group[int(self._rng.random() * len(group))]
+        return (local, other)
+
+    def _select_better(
+        self, pair: Sequence[Member], median_latency_s: float | None, now: float
+    ) -> Member:
+        if len(pair) == 1:
+            return pair[0]
+        first, second = pair
+        first_score = self._score(first, median_latency_s, now)
+        return (
+            first
+            if first_score <= self._score(second, median_latency_s, now)
+            else second
+        )
+
+    def _score(
+        self, member: Member, median_latency_s: float | None, now: float
+    ) -> float:
+        health = self._targets[member.node_id]
+        capacity = health.limit(member.slots, now) * health.ramp_factor(now)
+        health_factor = health.health_factor(now, median_latency_s)
+        return (health.load(now) + 1.0) / (capacity * health_factor)
 
-    def _scorer(self, group: Sequence[Member], now: float) -> Callable[[Member], float]:
+    def _median_latency_s(self, group: Sequence[Member]) -> float | None:
+        """Return the median latency of the targets with known latency."""
+        known = [self._targets.get(m.node_id) for m in group]
         latencies_s = [
-            latency_s
-            for m in group
-            if (latency_s := self._targets[m.node_id].latency_s) is not None
+            health.latency_s
+            for health in known
+            if health is not None and health.latency_s is not None
         ]
-        median_latency_s = median(latencies_s) if len(latencies_s) > 1 else None
-
-        def score(member: Member) -> float:
-            health = self._targets[member.node_id]
-            capacity = health.limit(member.slots, now) * health.ramp_factor(now)
-            health_factor = health.health_factor(now, median_latency_s)
-            return (health.load(now) + 1.0) / (capacity * health_factor)
-
-        return score
+        return median(latencies_s) if len(latencies_s) > 1 else None
 
     def _remove(self, node_id: NodeId) -> None:
         del self._targets[node_id]
--- a/packages/endivebeam-routing/tests/test_router.py
+++ b/packages/endivebeam-routing/tests/test_router.py
@@ -257,3 +257,22 @@
             router.record_load(targets[0].node_id, 0, 10, RAMP_END_S)
             total += choose_many(router, targets, 1, RAMP_END_S)
         assert total[targets[0].node_id] <= 200 * 2 / 10 * 1.5
+
+    def test_costs_the_same_in_a_domain_of_any_size(self):
+        """Guards against examining each target of a large domain for each call."""
+        checks = []
+        for count in (4, 400):
+            router, targets = make_router(), make_targets(count)
+            warm_up(router, targets)
+            examined: list[NodeId] = []
+            is_usable = router._is_usable
+
+            def record(member: Member, now: float) -> bool:
+                examined.append(member.node_id)  # noqa: B023
+                return is_usable(member, now)  # noqa: B023
+
+            router._is_usable = record
+            for _ in range(100):
+                complete_call(router, targets, RAMP_END_S)
+            checks.append(len(examined))
+        assert checks == [200, 200]
