--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -38,7 +38,7 @@
 # Closing a connection with unread bytes resets it, and the caller may lose a response
 # in transit. The caller gets this time to read it and to close the connection.
 LINGER_TIMEOUT_S = 1.0
-SWEEP_PERIOD_S = 0.5
+SWEEP_PERIOD_S = 1.0
 
 
 class ServerLimits:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_allowances.py
@@ -142,10 +142,16 @@
                 await self._renew_lease()
                 self._renewed.set()
                 self._renewed = Signal()
-                await anyio.sleep(RENEWAL_GAP_S)
-                await self._tokens_wanted.wait(RENEWAL_PERIOD_S - RENEWAL_GAP_S)
+                await self._wait_for_renewal(read_clock())
                 self._tokens_wanted = Signal()
 
+    async def _wait_for_renewal(self, renewed_at: float) -> None:
+        """Wait until tokens are wanted, or for a period."""
+        await self._tokens_wanted.wait(RENEWAL_PERIOD_S)
+        early_s = renewed_at + RENEWAL_GAP_S - read_clock()
+        if early_s > 0:
+            await anyio.sleep(early_s)
+
     async def _probe_suspects(self) -> None:
         while True:
             await anyio.sleep(PROBE_PERIOD_S)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -54,14 +54,14 @@
 from ._target import LocalTarget
 from ._unreachable_nodes import UnreachableNodes
 
-PROBE_PERIOD_S = 0.25
+PROBE_PERIOD_S = 0.5
 # Part of the time for a planned stop that is reserved for closing connections.
 STOP_MARGIN_S = 1.0
 STOP_POLL_S = 0.05
 # Callers use another node after two failed readiness checks, a second apart.
 READINESS_DRAIN_S = 2.5
 GAUGE_PERIOD_S = 2.0
-LAG_PERIOD_S = 0.5
+LAG_PERIOD_S = 1.0
 # A delay of the event loop that callers notice.
 LONG_LAG_S = 0.1
 RESTART_DELAY_S = 0.5
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_logs.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_logs.py
@@ -25,7 +25,7 @@
 RESERVED_LINES = BURST_LINES / 3
 MAX_PENDING_BYTES = 1 << 20
 # Lines written within this time share one system call.
-FLUSH_PERIOD_S = 0.2
+FLUSH_PERIOD_S = 0.5
 
 _encoder = msgspec.json.Encoder(enc_hook=str)
 
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_sync.py
@@ -24,7 +24,7 @@
 CONFIG_WATCH_S = 1.5
 # A node whose evidence is older than this reads the store itself.
 STALE_AFTER_S = 2.4
-CHECK_PERIOD_S = 0.2
+CHECK_PERIOD_S = 0.4
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 1.0
 # The row of a node that is unreachable for this long is removed.
