--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
@@ -28,6 +28,8 @@
 # Time over which the pressures of replies are averaged, and the least weight of one.
 SMOOTHING_S = 0.15
 MIN_WEIGHT = 0.01
+# Factor by which pressure falls in an interval without replies.
+NO_REPLY_FACTOR = 0.5
 # Pressure up to this is tolerated: by the requests that are shed first, and by those
 # that are shed last.
 FIRST_SHED_TOLERANCE = 0.05
@@ -185,6 +187,9 @@
         """
         if now - self._interval_started_at < max(INTERVAL_S, hold_s):
             return False
+        if self._replied_at <= self._interval_started_at:
+            # Where few requests arrive, a shed kind may make no calls for seconds.
+            self.pressure *= NO_REPLY_FACTOR
         runs = {kind: counts.collect() for kind, counts in self._runs.items()}
         self._estimator.add_interval(calls=self._calls, runs=runs)
         for kind in runs:
--- a/packages/endivebeam-fleet/tests/test_pressure.py
+++ b/packages/endivebeam-fleet/tests/test_pressure.py
@@ -186,3 +186,14 @@
         for step in range(20):
             pressure.record_reply(1.0, now + 0.01 * step)
         assert pressure.pressure_for_callers(FIRST_SHED) > 0.5
+
+    def test_pressure_fades_without_replies(self):
+        """Guards against a node with few requests that sheds long after an overload."""
+        pressure = CallPressure(now=0.0)
+        now = run_interval(pressure, warm_up(pressure), reported=1.0)
+        reduced = pressure.admitted_part(FIRST_SHED)
+        for _ in range(6):
+            now += HOLD_S
+            assert pressure.update(hold_s=HOLD_S, now=now)
+        assert pressure.pressure < 0.05
+        assert pressure.admitted_part(FIRST_SHED) > reduced
