Average pressure over ten replies at least

Averaged over 0.15 s, one reply that had waited was most of the pressure, and requests were shed at calm load. The weight of a reply is at most a tenth, so that where few replies arrive more time is averaged; with many it changes nothing.

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
@@ -25,9 +25,11 @@
 FULL_PRESSURE_WAIT = 0.55
 # Minimum time between two changes of the admitted parts.
 INTERVAL_S = 0.25
-# Time over which the pressures of replies are averaged, and the least weight of one.
+# Time over which the pressures of replies are averaged, and the limits of the weight
+# of one: where few replies arrive, more time is averaged.
 SMOOTHING_S = 0.15
 MIN_WEIGHT = 0.01
+MAX_WEIGHT = 0.1
 # Factor by which pressure falls in an interval without replies.
 NO_REPLY_FACTOR = 0.5
 # Pressure up to this is tolerated: by the requests that are shed first, and by those
@@ -165,7 +167,7 @@
         """Record the pressure reported with the response to a call of the target."""
         weight = 1.0 - math.exp((self._replied_at - now) / SMOOTHING_S - MIN_WEIGHT)
         self._replied_at = now
-        self.pressure += weight * (pressure - self.pressure)
+        self.pressure += min(MAX_WEIGHT, weight) * (pressure - self.pressure)
 
     def record_running(self, kind: CallKind, running: int) -> None:
         """Record the number of running calls of a kind after a change."""
