--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_pressure.py
@@ -29,7 +29,7 @@
 # of one: where few replies arrive, more time is averaged.
 SMOOTHING_S = 0.15
 MIN_WEIGHT = 0.01
-MAX_WEIGHT = 0.1
+MAX_WEIGHT = 0.2
 # Factor by which pressure falls in an interval without replies.
 NO_REPLY_FACTOR = 0.5
 # Pressure up to this is tolerated: by the requests that are shed first, and by those
