Take a short queue for no sign of overload

Cause: at a target of three slots a call or two often wait, of which some last 0.7 s, although there is capacity; this was reported as pressure, and lookups were shed at calm load.

Two waiting calls don't count for the backlog. At 47 slots that is a millisecond.

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_admission_queue.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_admission_queue.py
@@ -23,6 +23,8 @@
 INTERNAL_WAIT_FRACTION = 0.5
 INITIAL_HOLD_S = 0.05
 HOLD_EWMA_WEIGHT = 0.05
+# Number of waiting calls that are no sign of overload.
+SHORT_QUEUE = 2
 # Maximum number of waiting calls of one kind.
 MAX_WAITING = 256
 # Calls count for the served part of their kind for about this long.
@@ -157,12 +159,13 @@
         return max(0.0, excess * self.hold_s / limit)
 
     def backlog_s(self, now: float) -> float:
-        """Estimate the time in seconds until the calls that wait have started.
+        """Estimate the time in seconds until the calls of a long queue have started.
 
-        Running calls don't count: where a target has few slots, all of them are often
-        busy although calls rarely wait.
+        Running calls and a short queue don't count: where a target has few slots, all
+        of them are often busy, and a call or two wait, although there is capacity.
         """
-        return self._waiting * self.hold_s / max(1, self.limit(now))
+        excess = max(0, self._waiting - SHORT_QUEUE)
+        return excess * self.hold_s / max(1, self.limit(now))
 
     def arrive(self, ticket: Ticket, now: float) -> None:
         """Start, queue or reject a call, and set its state accordingly."""
