--- a/benchmarks/call_graph.py
+++ b/benchmarks/call_graph.py
@@ -1,6 +1,6 @@
 """Served requests of a call graph whose deepest service lacks capacity, by kind.
 
-Five kinds of work meet at the deepest of four services: browsing, which makes eight
+Four kinds of requests meet at the deepest of four services: browsing, which makes eight
 calls to it through two levels of services with plenty of slots; orders, which make
 four; bookings, which it runs itself; and payments, which need only the service above.
 For part of the run one of its three targets is down while more requests arrive.
