--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
@@ -149,7 +149,6 @@
         try:
             with anyio.fail_after(SYNC_TIMEOUT_S):
                 digest = await self._request_sync(member, ())
-                self._fleet.has_synchronized = True
                 if compares_members and digest != directory.digest():
                     await self._request_sync(member, directory.bucket_digests())
                     self._fleet.knows_members = True
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_state.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_state.py
@@ -47,8 +47,6 @@
         # Set once all member records were received from the store or a peer. A node
         # that knows only itself would spend the allowances of the whole fleet.
         self.knows_members = False
-        # Set once this node has synchronized with another one.
-        self.has_synchronized = False
         self.directory = Directory()
         self.freshness = Freshness()
         self.own = Member(
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_sync.py
@@ -6,7 +6,7 @@
 import anyio
 from loguru import logger
 
-from endivebeam_model import Member, MemberState, NodeId
+from endivebeam_model import MemberState, NodeId
 
 from ._clock import read_clock
 from ._control_store import (
@@ -60,7 +60,6 @@
         self._connected: bool | None = None
         self._own_changed = anyio.Event()
         self._row_versions: dict[NodeId, int] = {}
-        self._written: Member | None = None
 
     async def run(self) -> None:
         """Synchronize with the store until cancelled."""
@@ -160,11 +159,8 @@
         self._row_versions = {row.node_id: row.version for row in result.rows}
         for row in result.rows:
             fleet.adopt_member(row.member)
-            if row.node_id == own and not _is_findable(row.member, fleet.own):
+            if row.node_id == own and row.member != fleet.own:
                 self.write_soon()
-        if self._written is not None and own not in self._row_versions:
-            self._written = None
-            self.write_soon()
 
     async def _write_own(self) -> None:
         while True:
@@ -173,20 +169,16 @@
             own = self._fleet.own
             if own.state is MemberState.JOINING:
                 continue
-            if self._written is not None and _is_findable(self._written, own):
-                # Other nodes learn of a new state from each other.
-                continue
             try:
                 version = await self._store.write_member(own)
             except StoreUnavailableError:
                 self._own_changed.set()
                 raise
-            first = self._written is None
-            self._written = own
+            first = own.node_id not in self._row_versions
             self._row_versions[own.node_id] = version
-            if first and not self._fleet.has_synchronized:
-                # Each node that has found no other reads after it wrote, so of two new
-                # nodes at least one sees the row of the other.
+            if first:
+                # Each node reads after it wrote, so of two new nodes at least one sees
+                # the row of the other.
                 await self._read_members()
 
     def _has_abandoned(self) -> bool:
@@ -219,16 +211,3 @@
         if self._connected is not False:
             self._connected = False
             logger.bind(reason=str(error)).warning("store: The store is unavailable.")
-
-
-def _is_findable(row: Member, own: Member) -> bool:
-    """Return whether other nodes find this one by a row of it.
-
-    They learn the rest of its record from the node itself. A row of an earlier run
-    would be adopted by nodes that know only an older one.
-    """
-    return (row.incarnation, row.service, row.address) == (
-        own.incarnation,
-        own.service,
-        own.address,
-    )
