--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_directory.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_directory.py
@@ -1,13 +1,11 @@
 """Directory of all nodes and the targets beside them."""
 
 import zlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 from endivebeam_model import Member, MemberState, NodeId, ServiceName
 
 _DEPARTED = (MemberState.LEFT, MemberState.DEAD)
-# Buckets of records that are compared separately.
-BUCKETS = 64
 
 
 def record_version(member: Member) -> tuple[int, int]:
@@ -15,10 +13,6 @@
     return member.incarnation, member.sequence
 
 
-def _find_bucket(node_id: NodeId) -> int:
-    return zlib.crc32(node_id.encode()) % BUCKETS
-
-
 def _record_checksum(member: Member) -> int:
     record = f"{member.node_id} {member.incarnation} {member.sequence}"
     return zlib.crc32(record.encode())
@@ -40,8 +34,6 @@
         # Checksums of the records are combined by exclusive or, so that a change
         # replaces that of one record.
         self._digest = 0
-        self._bucket_digests = [0] * BUCKETS
-        self._bucket_nodes: list[set[NodeId]] = [set() for _ in range(BUCKETS)]
 
     def __len__(self) -> int:
         """Return the number of live nodes."""
@@ -74,38 +66,30 @@
         self.version += 1
         self._members[member.node_id] = member
         self._live = None
-        change = _record_checksum(member)
+        self._digest ^= _record_checksum(member)
         if previous is not None:
-            change ^= _record_checksum(previous)
+            self._digest ^= _record_checksum(previous)
             self._rebuild(previous.service)
         self._rebuild(member.service)
-        bucket = _find_bucket(member.node_id)
-        self._bucket_nodes[bucket].add(member.node_id)
-        self._bucket_digests[bucket] ^= change
-        self._digest ^= change
         return True
 
     def digest(self) -> int:
         """Return a checksum over all records, to detect differing directories."""
         return self._digest
 
-    def bucket_digests(self) -> tuple[int, ...]:
-        """Return a checksum over the records of each bucket."""
-        return tuple(self._bucket_digests)
+    def versions(self) -> dict[NodeId, tuple[int, int]]:
+        """Return the version of each record."""
+        return {node_id: record_version(m) for node_id, m in self._members.items()}
 
-    def find_differing(self, bucket_digests: Sequence[int]) -> list[Member]:
-        """Return the records of the buckets that differ from another directory's.
+    def newer_than(self, versions: dict[NodeId, tuple[int, int]]) -> list[Member]:
+        """Return the records that are newer than those of another directory.
 
-        ``bucket_digests`` are the checksums there. Records that are the same or older
-        here are among those returned; only a newer one replaces the one there.
+        ``versions`` are the versions of the records there.
         """
         return [
-            self._members[node_id]
-            for nodes, own, other in zip(
-                self._bucket_nodes, self._bucket_digests, bucket_digests, strict=False
-            )
-            if own != other
-            for node_id in nodes
+            member
+            for node_id, member in self._members.items()
+            if record_version(member) > versions.get(node_id, (-1, -1))
         ]
 
     def _rebuild(self, service: ServiceName) -> None:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
@@ -76,7 +76,7 @@
         others = self._others()
         async with anyio.create_task_group() as tasks:
             for member in random.sample(others, min(MAX_PUSH_PEERS, len(others))):
-                tasks.start_soon(self._push_to, member)
+                tasks.start_soon(self._sync_with, member)
 
     def handle_request(self, node_id: NodeId, request: SyncRequest) -> SyncReply:
         """Return the state that is newer here than at the requesting node."""
@@ -87,8 +87,8 @@
         self.config_transfer.record_peer_version(node_id, request.config_version)
         digest = fleet.directory.digest()
         members: list[Member] = []
-        if request.bucket_digests:
-            members = fleet.directory.find_differing(request.bucket_digests)
+        if request.versions:
+            members = fleet.directory.newer_than(request.versions)
         else:
             for member in request.members:
                 known = fleet.directory.find(member.node_id)
@@ -140,27 +140,20 @@
         own = self._fleet.own.node_id
         return [m for m in self._fleet.directory.live() if m.node_id != own]
 
-    async def _push_to(self, member: Member) -> None:
-        """Send this node's record and version; the peers compare the rest in turn."""
-        await self._sync_with(member, compares_members=False)
-
-    async def _sync_with(self, member: Member, compares_members: bool = True) -> None:
-        directory = self._fleet.directory
+    async def _sync_with(self, member: Member) -> None:
         try:
             with anyio.fail_after(SYNC_TIMEOUT_S):
-                digest = await self._request_sync(member, ())
-                if compares_members and digest != directory.digest():
-                    await self._request_sync(member, directory.bucket_digests())
-                    self._fleet.knows_members = True
-                elif digest == directory.digest():
-                    self._fleet.knows_members = True
+                digest = await self._request_sync(member, {})
+                if digest != self._fleet.directory.digest():
+                    await self._request_sync(member, self._fleet.directory.versions())
+            self._fleet.knows_members = True
         except (LinkNotOpenError, LinkLostError, TimeoutError) as error:
             logger.bind(peer=member.node_id, reason=str(error)).debug(
                 "peers: A state synchronization failed."
             )
 
     async def _request_sync(
-        self, member: Member, bucket_digests: tuple[int, ...]
+        self, member: Member, versions: dict[NodeId, tuple[int, int]]
     ) -> int:
         fleet = self._fleet
         requested_at = read_clock()
@@ -170,7 +163,7 @@
                 request_id=request_id,
                 config_version=ConfigVersion(fleet.config_version),
                 directory_digest=fleet.directory.digest(),
-                bucket_digests=bucket_digests,
+                versions=versions,
                 members=(fleet.own,),
             )
 
--- a/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
@@ -16,7 +16,8 @@
 
 from ._base import Body, PathText, PeerMessage, ShortText
 
-BucketDigests = Annotated[tuple[int, ...], msgspec.Meta(max_length=256)]
+# Incarnation and sequence of a member record.
+RecordVersion = tuple[int, int]
 CONFIG_PART_BYTES = 16 << 10
 ConfigPartBytes = Annotated[bytes, msgspec.Meta(max_length=CONFIG_PART_BYTES)]
 MAX_SOURCES = 8
@@ -118,19 +119,19 @@
 class SyncRequest(PeerMessage, frozen=True, kw_only=True, tag=62):
     """Compares the state of two nodes.
 
-    ``bucket_digests`` has a checksum of each bucket of the sender's member records; it
-    is empty unless the digests of all records differ.
+    ``versions`` has the versions of the sender's member records; it is empty unless
+    the digests differ.
     """
 
     request_id: int
     config_version: ConfigVersion
     directory_digest: int
-    bucket_digests: BucketDigests = ()
+    versions: dict[NodeId, RecordVersion] = {}
     members: tuple[Member, ...] = ()
 
 
 class SyncReply(PeerMessage, frozen=True, kw_only=True, tag=63):
-    """Reply to a ``SyncRequest``, with the member records that may be newer here.
+    """Reply to a ``SyncRequest``, with the member records that are newer here.
 
     ``config_age_ms`` is the age of the evidence that ``config_version`` is the
     newest, -1 without evidence or when the requesting node has an older version.
