Keep the signal handlers of a node until its process ends

Cause: the receiver of the signals was owned by the wait for the stop. When it returned at SIGTERM it restored the default actions, so the next SIGHUP or SIGTERM ended the process. Evidence: exit status -1 and no log line after the begin of the stop. Ruled out: an error or a second begin of the stop (status 0 or 1, a log line). The same default action met SIGHUP from the first line of the program until the receiver existed.

Why this works: SIGHUP is ignored from the first line, the handlers enclose the whole run with its stop, and both signals stay ignored until the process is gone.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/__init__.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/__init__.py
@@ -9,9 +9,10 @@
     StoredMember,
     StoreUnavailableError,
 )
-from ._daemon import Sidecar, wait_for_stop_signal
+from ._daemon import Sidecar
 from ._decisions import AttemptDetail, Decision, DecisionLog
 from ._logs import LineBudget, LineWriter, Logs, configure_logging, flush_forever
+from ._process_signals import receive_signals
 from ._settings import Bounds, HeaderNames, SidecarSettings
 
 __all__ = [
@@ -34,5 +35,5 @@
     "configure_logging",
     "flush_forever",
     "read_clock",
-    "wait_for_stop_signal",
+    "receive_signals",
 ]
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
@@ -380,14 +379,3 @@
         except Exception:
             logger.exception("node: A background task failed and is restarted.")
         await anyio.sleep(RESTART_DELAY_S)
-
-
-async def wait_for_stop_signal() -> None:
-    """Return when SIGTERM requests a planned stop."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-        async for number in signals:
-            if number == signal.SIGTERM:
-                return
-            logger.info(
-                "node: The settings file changed; it is read only at the start."
-            )
