Keep the signal handlers of the first daemon while it drains

What callers saw: connections that were reset or refused when a draining node of the first product got a second SIGTERM, or a SIGHUP, which it had no handler for at all.

Ruled out by trial: a receiver that lasts until the drain has ended; no request was lost, but the process still ended with status -1 in what was left of its life.

Both daemons now use one receive_signals, in endivebeam_http, whose context encloses the whole run and leaves the signals ignored afterwards.

--- a/packages/endivebeam-http/src/endivebeam_http/__init__.py
+++ b/packages/endivebeam-http/src/endivebeam_http/__init__.py
@@ -25,6 +25,7 @@
     PipelinedServer,
     ServerLimits,
 )
+from ._process_signals import receive_signals
 from ._responses import ResponseQueue
 from ._server import Handler, ServerConnection, encode_response, plain_error_response
 from ._target_client import (
@@ -71,5 +72,6 @@
     "get_field",
     "listen_tcp",
     "plain_error_response",
+    "receive_signals",
     "strip_hop_by_hop",
 ]
--- a/packages/endivebeam-node/src/endivebeam_node/__init__.py
+++ b/packages/endivebeam-node/src/endivebeam_node/__init__.py
@@ -1,11 +1,10 @@
 """The endivebeam node daemon."""
 
-from ._daemon import run_daemon
 from ._fleet_view import FleetView
 from ._holder import ShareHolder
 from ._leases import LeaseManager
 from ._listening import Ports
-from ._main import main
+from ._main import main, run_daemon
 from ._peers import UnreachableError
 from ._relays import serve_relay
 from ._settings import Operator, SeedAddress, Settings
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -69,7 +69,6 @@
 from ._ports import Outcome
 from ._selection import TargetSelector
 from ._settings import Settings
-from ._stop import wait_for_stop
 from ._targets import Announcement, LocalTarget
 from ._tls import NodeTls
 
@@ -210,6 +209,10 @@
         )
         self._stopping = False
 
+    def request_stop(self) -> None:
+        """Request that the node drains and ends."""
+        self._stop.set()
+
     async def run(self) -> None:
         """Listen, serve until a stop is requested, then drain."""
         settings = self.settings
@@ -239,7 +242,7 @@
             )
             logger.info("node: {} listens on {}", settings.node_id, ports)
             write_ports(settings, ports)
-            await wait_for_stop(self._stop)
+            await self._stop.wait()
             await self._drain()
             servers.cancel_scope.cancel()
         await self.peers.close()
@@ -267,7 +270,7 @@
         logger.info("node: drained")
 
     async def _serve_admin(self, listener: socket.socket) -> None:
-        app = self.operations.build_app(on_drain=self._stop.set)
+        app = self.operations.build_app(on_drain=self.request_stop)
         tls = self.tls.admin
         await serve_admin(app, listener, None if tls is None else tls.context)
 
@@ -386,11 +389,3 @@
 
 def _with_id(outcome: Outcome, request_id: int) -> Outcome:
     return msgspec.structs.replace(outcome, request_id=request_id)
-
-
-async def run_daemon(settings: Settings) -> None:
-    """Run a node until a stop is requested."""
-    async with anyio.create_task_group() as tasks:
-        node = Node(settings=settings, tasks=tasks)
-        await node.run()
-        tasks.cancel_scope.cancel()
--- a/packages/endivebeam-node/src/endivebeam_node/_main.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_main.py
@@ -4,12 +4,16 @@
 from pathlib import Path
 from typing import Annotated
 
+import anyio
 import typer
 from loguru import logger
 
-from ._daemon import run_daemon
+from endivebeam_http import receive_signals
+
+from ._daemon import Node
 from ._logs import configure_logging
 from ._loop import run_loop
+from ._settings import Settings
 from ._settings_load import describe_settings, read_settings
 
 app = typer.Typer(add_completion=False, pretty_exceptions_show_locals=False)
@@ -46,3 +50,16 @@
 def main() -> None:
     """Run the command line."""
     app()
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Run a node until a stop is requested."""
+    async with anyio.create_task_group() as tasks:
+        node = Node(settings=settings, tasks=tasks)
+        with receive_signals(on_stop=node.request_stop, on_hangup=_log_hangup):
+            await node.run()
+            tasks.cancel_scope.cancel()
+
+
+def _log_hangup() -> None:
+    logger.info("node: SIGHUP changes nothing; settings are read at the start")
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/__init__.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/__init__.py
@@ -12,7 +12,6 @@
 from ._daemon import Sidecar
 from ._decisions import AttemptDetail, Decision, DecisionLog
 from ._logs import LineBudget, LineWriter, Logs, configure_logging, flush_forever
-from ._process_signals import receive_signals
 from ._settings import Bounds, HeaderNames, SidecarSettings
 
 __all__ = [
@@ -35,5 +34,4 @@
     "configure_logging",
     "flush_forever",
     "read_clock",
-    "receive_signals",
 ]
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import signal
 import threading
 from collections import Counter
 from collections.abc import Iterator
@@ -95,8 +96,42 @@
     )
 
 
+def stop_with_signals(node: FleetNode, number: signal.Signals) -> int:
+    """Stop a node, send it a signal until it has ended, and return its status."""
+    node.node.terminate()
+
+    def has_ended() -> bool:
+        node.node.send_signal(number)
+        return node.node.poll() is not None
+
+    wait_for(has_ended, f"the end of {node.name}")
+    return node.node.wait()
+
+
 @pytest.mark.process
 class TestPlannedStops:
+    @pytest.mark.parametrize(
+        "number", [signal.SIGHUP, signal.SIGTERM], ids=lambda number: number.name
+    )
+    def test_further_signals_interrupt_no_request(
+        self, tmp_path: Path, number: signal.Signals
+    ):
+        """Guards against a node that a signal ends while it drains."""
+        with run_fleet(tmp_path) as fleet:
+            demo = start_fleet(fleet)
+            stopping, other = fleet.nodes[:2]
+            with ExitStack() as stack:
+                callers = [
+                    stack.enter_context(Caller(demo, [stopping, other]))
+                    for _ in range(CALLERS_PER_NODE)
+                ]
+                wait_for_calls(callers, 20)
+                status = stop_with_signals(stopping, number)
+                wait_for_calls(callers, 20)
+            outcomes = sum((c.outcomes for c in callers), Counter[str]())
+            assert set(outcomes) == {"answered"}
+            assert status == 0
+
     def test_stops_of_a_node_and_a_target_interrupt_no_request(self, tmp_path: Path):
         """Guards against requests that a planned stop interrupts or rejects."""
         with run_fleet(tmp_path) as fleet:
--- a/tests/thistlegate/test_signals.py
+++ b/tests/thistlegate/test_signals.py
@@ -69,7 +69,9 @@
 class TestSignalsDuringAPlannedStop:
     @pytest.mark.anyio
     @pytest.mark.process
-    @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+    @pytest.mark.parametrize(
+        "number", [signal.SIGHUP, signal.SIGTERM], ids=lambda number: number.name
+    )
     async def test_cut_no_request_and_leave_the_exit_status(
         self, number: signal.Signals
     ):
