Ask of every late request in a stop whether it may end in time

Cause: a request without an account was taken for a call of the neighbouring target and admitted by its latency objective, not by the time that it may take. That holds for public routes and for every request under a configuration without accounts.

Why this works: one arithmetic for all requests. What is taken late has its whole time, by its caller's timeout and its route's, before the stop ends; the others are told "not run" and may go to another node at once. A target's own calls are no longer excepted: nothing on the wire tells them from a caller's request.

Test: test_request_late_in_a_stop_is_rejected_and_not_cut_off, now on a public route and without accounts too, with 1.2 s left in place of 0.8 s so that the objective fits and the timeout doesn't.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -133,7 +133,7 @@
         terms = self._find_account(index, route, request)
         if isinstance(terms, Refusal):
             return terms
-        if not self._can_finish(request, route, terms, arrived):
+        if not self._can_finish(request, route, arrived):
             return Refusal(
                 reason=RefusalReason.DRAINING,
                 message="the node stops before the request may have ended",
@@ -151,24 +151,11 @@
             self._refund_token(terms, outcome)
         return outcome
 
-    def _can_finish(
-        self,
-        request: Request,
-        route: RouteRule,
-        terms: AccountTerms | None,
-        now: float,
-    ) -> bool:
-        """Return whether a request may end before a planned stop does.
-
-        A target's own calls belong to requests that are in progress. They are rejected
-        only if they are late even when they meet their objective.
-        """
+    def _can_finish(self, request: Request, route: RouteRule, now: float) -> bool:
+        """Return whether a request is sure to end before a planned stop does."""
         if self.planned_stop is None:
             return True
-        needed_s = min(self._caller_timeout_s(request), route.timeout_s)
-        if terms is None:
-            needed_s = min(needed_s, route.objective_s)
-        return self.planned_stop.admits(needed_s, now)
+        return self.planned_stop.admits(self._time_left_s(request, route), now)
 
     def _reject_above_rate(self, terms: AccountTerms, call_id: str) -> Refusal:
         self._decisions.write(
@@ -216,7 +203,7 @@
         call_id: str,
         arrived: float,
     ) -> Call:
-        time_left_s = min(self._caller_timeout_s(request), route.timeout_s)
+        time_left_s = self._time_left_s(request, route)
         return Call(
             call_id=call_id,
             route=route,
@@ -242,6 +229,10 @@
             return float(route.rank) if mean is None else mean
         return ACCOUNT_RANK_STEP * (terms.rank or 0) + route.rank
 
+    def _time_left_s(self, request: Request, route: RouteRule) -> float:
+        """Return how long a request may take, in seconds from its arrival."""
+        return min(self._caller_timeout_s(request), route.timeout_s)
+
     def _caller_timeout_s(self, request: Request) -> float:
         value = request.get(self._settings.headers.deadline_ms)
         try:
--- a/packages/endivebeam-sidecar/tests/_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_fleet.py
@@ -81,7 +81,11 @@
     )
 
 
-def make_config(version: int = 1, **terms: object) -> FleetConfig:
+def make_config(
+    version: int = 1,
+    accounts: tuple[AccountTerms, ...] = (ACCOUNT,),
+    **terms: object,
+) -> FleetConfig:
     return FleetConfig(
         version=ConfigVersion(version),
         routes=(
@@ -91,7 +95,7 @@
             make_route("quick", timeout_s=1.0),
             make_route("vans", service="vans"),
         ),
-        accounts=(ACCOUNT,),
+        accounts=accounts,
         **terms,
     )
 
--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from endivebeam_fleet import CallKind, TargetPhase
+from endivebeam_fleet import AccountTerms, CallKind, TargetPhase
 from endivebeam_http import Field, Request, Response
 from endivebeam_model import ConfigVersion
 from endivebeam_sidecar import Bounds, read_clock
@@ -445,10 +445,17 @@
             assert response.status == 200
             assert response.get(b"connection") == b"close"
 
-    @pytest.mark.parametrize("path", ["/charge/x", "/look/x"])
-    async def test_request_late_in_a_stop_is_rejected_and_not_cut_off(self, path: str):
+    @pytest.mark.parametrize("path", ["/charge/x", "/look/x", "/open/x"])
+    @pytest.mark.parametrize("accounts", [(ACCOUNT,), ()], ids=["accounts", "none"])
+    async def test_request_late_in_a_stop_is_rejected_and_not_cut_off(
+        self, path: str, accounts: tuple[AccountTerms, ...]
+    ):
         """Guards against a request that is passed on and gets no answer."""
-        async with run_fleet(("vans", "stock"), bounds=Bounds(stop_s=2.6)) as fleet:
+        store = FakeStore()
+        store.config = make_config(accounts=accounts)
+        # 1.2 s are left then: more than the objective, less than the timeout.
+        bounds = Bounds(stop_s=3.4)
+        async with run_fleet(("vans", "stock"), store=store, bounds=bounds) as fleet:
             stopping, other = fleet.nodes
             release = anyio.Event()
 
@@ -462,7 +469,7 @@
                 await wait_until(lambda: len(other.target.received) == 1)
                 stopping.stop.set()
                 await wait_until(lambda: not stopping.sidecar.is_ready)
-                drained_at = read_clock() + 0.8
+                drained_at = read_clock() + 1.2
                 await wait_until(lambda: read_clock() > drained_at)
                 await second.send(path)
                 rejected = await second.receive()
