Let a connection be aborted after it has ended

What was seen: a stand-in target on asyncio ended with all its connections when it aborted one that had sent its last bytes after close(). asyncio's transport raises AttributeError then.

--- a/packages/endivebeam-http/src/endivebeam_http/_transport.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_transport.py
@@ -47,6 +47,7 @@
         self.chunks: list[bytes] = []
         self.buffered_bytes = 0
         self.ended = False
+        self.is_lost = False
         self.error: Exception | None = None
         self.readable = asyncio.Event()
         self.is_writable = True
@@ -76,6 +77,7 @@
         self._record_end(_read_error(self.transport.get_extra_info("socket")))
 
     def connection_lost(self, error: Exception | None) -> None:
+        self.is_lost = True
         self._record_end(error)
         self.writable.set()
 
@@ -224,7 +226,9 @@
     def abort(self) -> None:
         """Close the connection at once; discard its write buffer."""
         self._closed = True
-        self._transport.abort()
+        # The transport of asyncio fails if it is aborted after the connection was lost.
+        if not self._protocol.is_lost:
+            self._transport.abort()
         self._protocol.readable.set()
 
     @property
--- a/packages/endivebeam-http/tests/test_target_client.py
+++ b/packages/endivebeam-http/tests/test_target_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 import anyio
+import anyio.to_thread
 import pytest
 
 from endivebeam_http import (
@@ -18,6 +19,8 @@
 )
 
 pytestmark = pytest.mark.anyio
+# More than the kernel buffers for one connection.
+UNSENT_BYTES = 32 << 20
 REQUEST = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
 
 
@@ -52,6 +55,22 @@
         peer.close()
 
 
+class TestAbort:
+    async def test_does_nothing_after_the_connection_has_ended(self, target: Target):
+        """Guards against an error of one connection that ends the tasks of all."""
+        port = target.listener.getsockname()[1]
+        stream = await connect_stream("127.0.0.1", port)
+        peer = target.accept()
+        stream.send_now(bytes(UNSENT_BYTES))
+        assert stream.unsent_bytes > 0
+        stream.close()
+        with anyio.fail_after(5):
+            while await anyio.to_thread.run_sync(peer.recv, UNSENT_BYTES):
+                pass
+            await stream.drain()
+        stream.abort()
+
+
 def make_response(
     call_id: str = "mine", body: bytes = b"whole", extra: str = ""
 ) -> bytes:
