Close a connection to a target that sends bytes without a request

What operators saw: a backend that sent bytes without end, kept by the machine that had called it until its memory ran out.

Cause: such a connection was only marked, and closed when it was next taken from the pool. It is now closed at the first stray byte.

--- a/packages/endivebeam-http/src/endivebeam_http/_target_client.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_target_client.py
@@ -50,7 +50,6 @@
         self._matches: Matches = _match_none
         self._skipped = 0
         self._ended = False
-        self._has_stray_bytes = False
         self.closed = False
         self.idle_since = time.monotonic()
         self.is_new = True
@@ -62,13 +61,12 @@
         """Return whether the connection may be used for another request.
 
         It may not if it was idle for more than ``fraction`` of the keep-alive
-        time, if either side closed it, or if the target sent bytes that belong to
-        no request.
+        time or if either side closed it.
         """
         idle_s = time.monotonic() - self.idle_since
         if self.closed or idle_s > self.keep_alive_s * fraction:
             return False
-        return not (self._ended or self._has_stray_bytes)
+        return not self._ended
 
     async def exchange(
         self, data: bytes, *, head_only: bool, matches: Matches, timeout_s: float
@@ -126,7 +124,9 @@
 
     def _on_data(self, data: bytes) -> None:
         if self._waiter is None:
-            self._has_stray_bytes = True
+            # Bytes that belong to no request: a target may go on sending them without
+            # end, and reading them would cost processor time for as long.
+            self.close()
             return
         try:
             self._queue.feed(data)
