Log at the end of a planned stop whether it cuts requests

A node said when a stop begins, not whether it ended with requests still in progress, so a cut could only be seen from outside.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -286,8 +286,18 @@
                 if idle and read_clock() > stop.drained_at:
                     break
             tasks.cancel_scope.cancel()
+        self._log_stop_end()
         self._caller_server.close_idle()
 
+    def _log_stop_end(self) -> None:
+        """Log the end of a planned stop, as a warning if it cuts requests."""
+        busy = self._caller_server.busy_connections
+        bound = logger.bind(in_flight=self._target.in_flight, busy_connections=busy)
+        if busy or self._target.in_flight:
+            bound.warning("node: The time for the planned stop is over.")
+        else:
+            bound.info("node: No request is left in the planned stop.")
+
     async def _announce_departure(self) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._gossip.push)
--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -5,6 +5,7 @@
 import anyio
 import msgspec
 import pytest
+from loguru import logger
 
 from endivebeam_fleet import AccountTerms, CallKind, TargetPhase
 from endivebeam_http import Field, Request, Response
@@ -478,6 +479,41 @@
             assert rejected.status == 503
             assert len(other.target.received) == 1
 
+    @pytest.mark.parametrize("answers", [True, False])
+    async def test_end_of_a_stop_tells_whether_requests_are_cut(self, answers: bool):
+        """Guards against cut requests that no log of the node tells of."""
+        bounds = Bounds(stop_s=1.6)
+        async with run_fleet(("stock",), bounds=bounds) as fleet:
+            node = fleet.nodes[0]
+            release = anyio.Event()
+
+            async def answer(request: Request) -> Response:
+                await release.wait()
+                return node.target.make_response(request)
+
+            node.target.behavior = answer
+            records: list[tuple[str, int]] = []
+            sink = logger.add(
+                lambda message: records.append(
+                    (
+                        message.record["level"].name,
+                        message.record["extra"].get("in_flight", 0),
+                    )
+                ),
+                filter=lambda record: "planned stop" in record["message"],
+            )
+            async with node.connect() as connection:
+                await connection.send("/look/x")
+                await wait_until(lambda: len(node.target.received) == 1)
+                if answers:
+                    release.set()
+                    await connection.receive()
+                node.stop.set()
+                await wait_until(lambda: len(records) == 2)
+            logger.remove(sink)
+        begin = ("INFO", 0 if answers else 1)
+        assert records == [begin, ("INFO", 0) if answers else ("WARNING", 1)]
+
 
 class TestNodeCrashes:
     async def test_calls_go_to_other_nodes_when_one_is_killed(self):
