--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -214,7 +214,7 @@
             body=request.body,
             account=terms.account if terms else AccountId(""),
             rank=self._find_rank(route, terms),
-            internal=terms is None,
+            internal=_may_be_internal(terms),
             shed_order=index.shed_order(route),
             deadline=arrived + time_left_s,
         )
@@ -288,6 +288,16 @@
         self._decisions.write(Decision.REQUEST_REJECTED, make_detail)
 
 
+def _may_be_internal(terms: AccountTerms | None) -> bool:
+    """Return whether a request may be a call that the local target makes.
+
+    Such a call has no account. Nothing else on the wire tells it from a request of a
+    caller on a public route, so those are given the rank and the place in the queue of
+    internal calls too.
+    """
+    return terms is None
+
+
 def _not_ready(message: str) -> Refusal:
     return Refusal(
         reason=RefusalReason.ISOLATED,
