--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -5,9 +5,8 @@
 import anyio
 import msgspec
 import pytest
-from loguru import logger
 
-from endivebeam_fleet import AccountTerms, CallKind, TargetPhase
+from endivebeam_fleet import CallKind, TargetPhase
 from endivebeam_http import Field, Request, Response
 from endivebeam_model import ConfigVersion
 from endivebeam_sidecar import Bounds, read_clock
@@ -409,112 +408,6 @@
             await anyio.lowlevel.checkpoint()
 
 
-class TestPlannedStops:
-    async def test_stopping_node_finishes_a_call_in_flight(self):
-        async with run_fleet(("stock", "vans")) as fleet:
-            started, release = anyio.Event(), anyio.Event()
-
-            async def answer(request: Request) -> Response:
-                started.set()
-                await release.wait()
-                return fleet.nodes[1].target.make_response(request)
-
-            fleet.nodes[1].target.behavior = answer
-            async with fleet.nodes[0].connect() as connection:
-                await connection.send("/vans/x")
-                await started.wait()
-                fleet.nodes[1].stop.set()
-                await wait_until(lambda: not fleet.nodes[1].sidecar.is_ready)
-                release.set()
-                assert (await connection.receive()).status == 200
-
-    async def test_other_nodes_send_nothing_to_the_target_of_a_stopping_node(self):
-        async with run_fleet() as fleet:
-            stopping, other = fleet.nodes
-            stopping.stop.set()
-            await wait_until(lambda: not stopping.sidecar.is_ready)
-            for _ in range(5):
-                assert (await other.call("/look/x")).status == 200
-            assert stopping.target.received == []
-
-    async def test_stopping_node_still_serves_its_callers(self):
-        async with run_fleet() as fleet:
-            node = fleet.nodes[0]
-            node.stop.set()
-            await wait_until(lambda: not node.sidecar.is_ready)
-            response = await node.call("/look/x")
-            assert response.status == 200
-            assert response.get(b"connection") == b"close"
-
-    @pytest.mark.parametrize("path", ["/charge/x", "/look/x", "/open/x"])
-    @pytest.mark.parametrize("accounts", [(ACCOUNT,), ()], ids=["accounts", "none"])
-    async def test_request_late_in_a_stop_is_rejected_and_not_cut_off(
-        self, path: str, accounts: tuple[AccountTerms, ...]
-    ):
-        """Guards against a request that is passed on and gets no answer."""
-        store = FakeStore()
-        store.config = make_config(accounts=accounts)
-        # 1.2 s are left then: more than the objective, less than the timeout.
-        bounds = Bounds(stop_s=3.4)
-        async with run_fleet(("vans", "stock"), store=store, bounds=bounds) as fleet:
-            stopping, other = fleet.nodes
-            release = anyio.Event()
-
-            async def answer(request: Request) -> Response:
-                await release.wait()
-                return other.target.make_response(request)
-
-            other.target.behavior = answer
-            async with stopping.connect() as first, stopping.connect() as second:
-                await first.send("/look/x")
-                await wait_until(lambda: len(other.target.received) == 1)
-                stopping.stop.set()
-                await wait_until(lambda: not stopping.sidecar.is_ready)
-                drained_at = read_clock() + 1.2
-                await wait_until(lambda: read_clock() > drained_at)
-                await second.send(path)
-                rejected = await second.receive()
-                release.set()
-                assert (await first.receive()).status == 200
-            assert rejected.status == 503
-            assert len(other.target.received) == 1
-
-    @pytest.mark.parametrize("answers", [True, False])
-    async def test_end_of_a_stop_tells_whether_requests_are_cut(self, answers: bool):
-        """Guards against cut requests that no log of the node tells of."""
-        bounds = Bounds(stop_s=1.6)
-        async with run_fleet(("stock",), bounds=bounds) as fleet:
-            node = fleet.nodes[0]
-            release = anyio.Event()
-
-            async def answer(request: Request) -> Response:
-                await release.wait()
-                return node.target.make_response(request)
-
-            node.target.behavior = answer
-            records: list[tuple[str, int]] = []
-            sink = logger.add(
-                lambda message: records.append(
-                    (
-                        message.record["level"].name,
-                        message.record["extra"].get("in_flight", 0),
-                    )
-                ),
-                filter=lambda record: "planned stop" in record["message"],
-            )
-            async with node.connect() as connection:
-                await connection.send("/look/x")
-                await wait_until(lambda: len(node.target.received) == 1)
-                if answers:
-                    release.set()
-                    await connection.receive()
-                node.stop.set()
-                await wait_until(lambda: len(records) == 2)
-            logger.remove(sink)
-        begin = ("INFO", 0 if answers else 1)
-        assert records == [begin, ("INFO", 0) if answers else ("WARNING", 1)]
-
-
 class TestNodeCrashes:
     async def test_calls_go_to_other_nodes_when_one_is_killed(self):
         async with run_fleet(("stock", "stock", "vans")) as fleet:
