Close a listener when the task group of its handlers ends

A connection that arrived between the end of TcpListener.serve and the close of the listener was passed to a task group that had ended; the error reached the event loop and the connection stayed open without a handler.

--- a/packages/endivebeam-http/src/endivebeam_http/_transport.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_transport.py
@@ -272,10 +272,14 @@
         handler: Callable[[TcpStream], Any],
         task_group: anyio.abc.TaskGroup | None = None,
     ) -> None:
-        """Run a handler for each connection until cancelled."""
+        """Run a handler for each connection until cancelled, then close the listener."""
         async with anyio.create_task_group() as tasks:
             self.accept(lambda stream: tasks.start_soon(handler, stream))
-            await anyio.sleep_forever()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                # The task group can't run handlers once it has ended.
+                self.close()
 
     def accept(self, on_accept: Callable[[TcpStream], object]) -> None:
         """Pass each connection to a function, including those accepted before."""
--- a/packages/endivebeam-http/tests/test_pipeline.py
+++ b/packages/endivebeam-http/tests/test_pipeline.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import anyio.abc
 import pytest
 
 from endivebeam_http import (
@@ -214,3 +215,15 @@
                     await connect_stream("127.0.0.1", port)
                 release.set()
             await stream.aclose()
+
+    async def test_listener_accepts_nothing_once_its_handlers_have_ended(self):
+        """Guards against a connection that nobody handles and that stays open."""
+        listener = await listen_tcp("127.0.0.1", 0)
+        port = listener.port
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, anyio.abc.ByteStream.aclose)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+        with pytest.raises(ConnectionRefusedError):
+            await connect_stream("127.0.0.1", port)
+        await listener.aclose()
