--- a/packages/endivebeam-http/src/endivebeam_http/_transport.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_transport.py
@@ -272,7 +272,7 @@
         handler: Callable[[TcpStream], Any],
         task_group: anyio.abc.TaskGroup | None = None,
     ) -> None:
-        """Run a handler for each connection until cancelled, then close the listener."""
+        """Run a handler for each connection until cancelled, then stop accepting."""
         async with anyio.create_task_group() as tasks:
             self.accept(lambda stream: tasks.start_soon(handler, stream))
             try:
