Survive an unexpected error while a departure is announced

What callers would see: all requests that a stopping node is finishing are cut. Found while looking for what else can end a planned stop early; not reported.

Cause: the departure is sent to peers and the store beside the wait for the last requests, without the supervisor that the same functions have at other times. A peer that replies with another kind of message raises AssertionError there and ends the process. Both announcements now log such a failure.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -300,8 +300,8 @@
 
     async def _announce_departure(self) -> None:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._gossip.push)
-            tasks.start_soon(self._store_sync.remove_own)
+            for announce in (self._gossip.push, self._store_sync.remove_own):
+                tasks.start_soon(_run_logged, announce)
 
     def _update_own_record(self) -> None:
         if self._stopping:
@@ -384,8 +384,13 @@
 async def _supervise(loop: Callable[[], Awaitable[None]]) -> None:
     """Run a background task and restart it when it fails unexpectedly."""
     while True:
-        try:
-            await loop()
-        except Exception:
-            logger.exception("node: A background task failed and is restarted.")
+        await _run_logged(loop)
         await anyio.sleep(RESTART_DELAY_S)
+
+
+async def _run_logged(task: Callable[[], Awaitable[None]]) -> None:
+    """Run a background task and log its unexpected failure."""
+    try:
+        await task()
+    except Exception:
+        logger.exception("node: A background task failed.")
--- a/packages/endivebeam-sidecar/tests/test_planned_stops.py
+++ b/packages/endivebeam-sidecar/tests/test_planned_stops.py
@@ -6,7 +6,9 @@
 
 from endivebeam_fleet import AccountTerms
 from endivebeam_http import Request, Response
+from endivebeam_model import NodeId
 from endivebeam_sidecar import Bounds, read_clock
+from endivebeam_wire import HeartbeatEcho, SyncRequest
 
 from ._fleet import ACCOUNT, FakeStore, make_config, run_fleet, wait_until
 
@@ -83,6 +85,35 @@
             assert rejected.status == 503
             assert len(other.target.received) == 1
 
+    async def test_wrong_reply_to_the_departure_cuts_no_request(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against an unexpected error that ends the process before its stop."""
+        async with run_fleet(("stock", "vans")) as fleet:
+            stopping, other = fleet.nodes
+            release = anyio.Event()
+
+            async def answer(request: Request) -> Response:
+                await release.wait()
+                return other.target.make_response(request)
+
+            def reply(node_id: NodeId, request: SyncRequest) -> HeartbeatEcho:
+                departures.append(node_id)
+                return HeartbeatEcho(request_id=request.request_id)
+
+            departures: list[NodeId] = []
+            other.target.behavior = answer
+            async with stopping.connect() as connection:
+                await connection.send("/vans/x")
+                await wait_until(lambda: len(other.target.received) == 1)
+                monkeypatch.setattr(other.sidecar._gossip, "handle_request", reply)
+                stopping.stop.set()
+                await wait_until(lambda: not stopping.sidecar.is_ready)
+                await wait_until(lambda: bool(departures))
+                await anyio.wait_all_tasks_blocked()
+                release.set()
+                assert (await connection.receive()).status == 200
+
     @pytest.mark.parametrize("answers", [True, False])
     async def test_end_of_a_stop_tells_whether_requests_are_cut(self, answers: bool):
         """Guards against cut requests that no log of the node tells of."""
