--- a/tests/thistlegate/test_deployment.py
+++ b/tests/thistlegate/test_deployment.py
@@ -7,9 +7,6 @@
 import pytest
 
 from thistlegate_standin import (
-    Deployment,
-    Drain,
-    Evidence,
     Outcome,
     find_violations,
     make_chain,
@@ -20,20 +17,6 @@
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
 
 
-def make_evidence(deployment: Deployment) -> Evidence:
-    return Evidence(
-        records=deployment.records,
-        history=deployment.operator.history,
-        drains=[
-            Drain(target.instance, target.drain_acknowledged_at)
-            for target in deployment.all_targets
-            if target.drain_acknowledged_at is not None
-        ],
-        bounds=deployment.plan.bounds,
-        machine_services={m.name: m.service for m in deployment.machines},
-    )
-
-
 class TestDeploymentWithoutFaults:
     async def test_answers_every_request_without_violations(self):
         plan = make_chain()
@@ -42,7 +25,7 @@
             outcomes = Counter(a.outcome for a in deployment.records.attempts)
             assert outcomes[Outcome.ANSWERED] > 50
             assert set(outcomes) == {Outcome.ANSWERED}, deployment.describe_failures()
-            assert find_violations(make_evidence(deployment)) == []
+            assert find_violations(deployment.make_evidence()) == []
 
 
 class TestFaults:
@@ -61,6 +44,6 @@
                 deployment.nodes["accounts-1"].signal(signal.SIGTERM)
                 await anyio.sleep(2.0)
                 deployment.faults.mode = deployment.faults.mode.NONE
-            assert find_violations(make_evidence(deployment)) == []
+            assert find_violations(deployment.make_evidence()) == []
             outcomes = Counter(a.outcome for a in deployment.records.attempts)
             assert outcomes[Outcome.ANSWERED] > 80, deployment.describe_failures()
