Move the control of a node out of its daemon

The parts that share state with the store and with peers are created and connected in one place, which the model in virtual time uses too. No logic changed.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -12,10 +12,7 @@
 from endivebeam_fleet import (
     Announcement,
     FleetRetryBudget,
-    PropagationTimes,
     Tolerance,
-    compute_worst_case_s,
-    plan_propagation,
 )
 from endivebeam_http import (
     Exchange,
@@ -46,20 +43,17 @@
 from ._attempts import CallSender
 from ._callers import CallerHandler
 from ._clock import read_clock
-from ._config_reader import ConfigReader
+from ._control import Control
 from ._control_store import ControlStore
 from ._decisions import DecisionLog, make_null_log
-from ._gossip import Gossip
 from ._links import LinkLostError, LinkNotOpenError, Links
 from ._lost_replies import KeptReplies
-from ._member_sync import MemberSync
 from ._metrics import SidecarMetrics
 from ._peer_calls import PeerCalls
 from ._planned_stop import start_planned_stop
 from ._settings import SidecarSettings
 from ._state import FleetState
-from ._store_access import StoreAccessLog
-from ._store_watchers import StoreWatchers
+from ._supervision import supervise
 from ._target import LocalTarget
 from ._unreachable_nodes import UnreachableNodes
 
@@ -71,12 +65,9 @@
 LAG_PERIOD_S = 1.0
 # A delay of the event loop that callers notice.
 LONG_LAG_S = 0.1
-RESTART_DELAY_S = 0.5
 # Maximum for each of the ports for announcements, readiness and metrics.
 MAX_CONTROL_CONNECTIONS = 64
 PROCESS_TOKEN_BITS = 62
-# Round trip between two regions for which the bound of changes is checked.
-MAX_ROUND_TRIP_S = 0.1
 
 
 class Sidecar:
@@ -103,7 +94,7 @@
             settings=settings,
             router=self._router,
             limits=self._limits,
-            on_refuted=self._publish_own_record,
+            on_refuted=lambda: self._control.publish_own(),
         )
         self._target = LocalTarget(
             headers=settings.headers,
@@ -129,33 +120,14 @@
             on_unreachable=self._handle_unreachable,
             on_reached=self._unreachable.remove,
         )
-        watchers = StoreWatchers(fleet=self._fleet, unreachable=self._unreachable)
         bounds = settings.bounds
-        # Keys are trusted only while the evidence for the configuration is recent.
-        times = plan_propagation(min(bounds.propagation_s, bounds.key_withdrawal_s))
-        _check_propagation(times)
-        self._gossip = Gossip(
-            fleet=self._fleet,
-            links=self._links,
-            unreachable=self._unreachable,
-            watchers=watchers,
-            times=times,
-        )
-        access = StoreAccessLog(metrics=self.metrics)
-        self._config_reader = ConfigReader(
-            fleet=self._fleet,
-            store=store,
-            watchers=watchers,
-            access=access,
-            times=times,
-            on_news=self._gossip.push_soon,
-        )
-        self._member_sync = MemberSync(
+        self._control = Control(
             fleet=self._fleet,
             store=store,
+            links=self._links,
             unreachable=self._unreachable,
-            watchers=watchers,
-            access=access,
+            metrics=self.metrics,
+            bounds=bounds,
         )
         self._allowances = Allowances(
             fleet=self._fleet,
@@ -247,16 +219,13 @@
             await self._listen(tasks, announcements)
             self.is_listening = True
             for loop in (
-                self._gossip.run,
-                self._gossip.config_transfer.run,
-                self._config_reader.run,
-                self._member_sync.run,
+                *self._control.loops,
                 self._allowances.run,
                 self._probe_down_targets,
                 self._update_gauges,
                 self._measure_lag,
             ):
-                tasks.start_soon(_supervise, loop)
+                tasks.start_soon(supervise, loop)
             logger.bind(
                 service=self.settings.service, domain=self.settings.domain
             ).info("node: Started.")
@@ -300,7 +269,7 @@
         self._caller_server.announce_close()
         self._fleet.update_own(self._target, MemberState.LEFT)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._announce_departure)
+            tasks.start_soon(self._control.announce_departure)
             while read_clock() < stop.ends_at:
                 await anyio.sleep(STOP_POLL_S)
                 idle = (
@@ -322,22 +291,13 @@
         else:
             bound.info("node: No request is left in the planned stop.")
 
-    async def _announce_departure(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            for announce in (self._gossip.push, self._member_sync.remove_own):
-                tasks.start_soon(_run_logged, announce)
-
     def _update_own_record(self) -> None:
         if self._stopping:
             return
         accepts_work = self._target.record.accepts_work
         state = MemberState.SERVING if accepts_work else MemberState.DRAINING
         if self._fleet.update_own(self._target, state):
-            self._publish_own_record()
-
-    def _publish_own_record(self) -> None:
-        self._gossip.push_soon()
-        self._member_sync.write_soon()
+            self._control.publish_own()
 
     def _handle_unreachable(self, node_id: NodeId) -> None:
         self._router.record_lost(node_id, read_clock())
@@ -352,9 +312,9 @@
             case OutcomeQuery():
                 return await self._peer_calls.find_outcome(request)
             case SyncRequest():
-                return self._gossip.handle_request(node_id, request)
+                return self._control.handle_sync(node_id, request)
             case ConfigRequest():
-                return self._gossip.config_transfer.handle_request(node_id, request)
+                return self._control.handle_transfer(node_id, request)
             case TokenRequest():
                 return self._allowances.handle_request(node_id, request)
             case _:
@@ -401,28 +361,5 @@
                 )
 
 
-def _check_propagation(times: PropagationTimes) -> None:
-    worst_case_s = compute_worst_case_s(times, round_trip_s=MAX_ROUND_TRIP_S)
-    if worst_case_s > times.bound_s:
-        logger.bind(bound_s=times.bound_s, worst_case_s=round(worst_case_s, 3)).warning(
-            "config: Changes may be in force later than the bound between regions."
-        )
-
-
 async def _listen(address: Address) -> TcpListener:
     return await listen_tcp(address.host, address.port)
-
-
-async def _supervise(loop: Callable[[], Awaitable[None]]) -> None:
-    """Run a background task and restart it when it fails unexpectedly."""
-    while True:
-        await _run_logged(loop)
-        await anyio.sleep(RESTART_DELAY_S)
-
-
-async def _run_logged(task: Callable[[], Awaitable[None]]) -> None:
-    """Run a background task and log its unexpected failure."""
-    try:
-        await task()
-    except Exception:
-        logger.exception("node: A background task failed.")
--- a/packages/endivebeam-sidecar/tests/_virtual_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_fleet.py
@@ -16,7 +16,7 @@
 import anyio.abc
 import pytest
 
-from endivebeam_fleet import FleetConfig, plan_propagation
+from endivebeam_fleet import FleetConfig
 from endivebeam_http import ServerLimits
 from endivebeam_model import (
     Address,
@@ -43,14 +43,10 @@
     _state,
     _unreachable_nodes,
 )
-from endivebeam_sidecar._config_reader import ConfigReader
-from endivebeam_sidecar._gossip import Gossip
+from endivebeam_sidecar._control import Control
 from endivebeam_sidecar._links import LinkLostError, LinkNotOpenError
-from endivebeam_sidecar._member_sync import MemberSync
 from endivebeam_sidecar._metrics import SidecarMetrics
 from endivebeam_sidecar._state import FleetState
-from endivebeam_sidecar._store_access import StoreAccessLog
-from endivebeam_sidecar._store_watchers import StoreWatchers
 from endivebeam_sidecar._unreachable_nodes import UnreachableNodes
 from endivebeam_standins.virtual_loop import VirtualLoop
 from endivebeam_wire import ConfigRequest, Reply, Request, SyncRequest
@@ -311,36 +307,18 @@
                 rng=random.Random(random.random()),
             ),
             limits=ServerLimits(),
-            on_refuted=self._publish_own,
+            on_refuted=lambda: self.control.publish_own(),
         )
         self.unreachable = UnreachableNodes()
-        watchers = StoreWatchers(fleet=self.state, unreachable=self.unreachable)
-        self.watchers = watchers
-        times = plan_propagation(bounds.propagation_s)
-        self.gossip = Gossip(
+        self.control = Control(
             fleet=self.state,
+            store=StoreAccess(fleet.store, node_id),
             links=VirtualLinks(fleet=fleet, own=node_id),
             unreachable=self.unreachable,
-            watchers=watchers,
-            times=times,
-        )
-        store = StoreAccess(fleet.store, node_id)
-        access = StoreAccessLog(metrics=SidecarMetrics())
-        self.config_reader = ConfigReader(
-            fleet=self.state,
-            store=store,
-            watchers=watchers,
-            access=access,
-            times=times,
-            on_news=self.gossip.push_soon,
-        )
-        self.member_sync = MemberSync(
-            fleet=self.state,
-            store=store,
-            unreachable=self.unreachable,
-            watchers=watchers,
-            access=access,
+            metrics=SidecarMetrics(),
+            bounds=bounds,
         )
+        self.watchers = self.control.watchers
 
     @property
     def version(self) -> int:
@@ -351,19 +329,17 @@
         """Reply to another node."""
         match request:
             case SyncRequest():
-                return self.gossip.handle_request(peer, request)
+                return self.control.handle_sync(peer, request)
             case ConfigRequest():
-                return self.gossip.config_transfer.handle_request(peer, request)
+                return self.control.handle_transfer(peer, request)
         raise AssertionError(f"unexpected request {request}")
 
     async def run(self) -> None:
         """Run the control until the node is killed."""
         with self.scope:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.gossip.run)
-                tasks.start_soon(self.gossip.config_transfer.run)
-                tasks.start_soon(self.config_reader.run)
-                tasks.start_soon(self.member_sync.run)
+                for loop in self.control.loops:
+                    tasks.start_soon(loop)
                 self._serve()
 
     def _serve(self) -> None:
@@ -380,11 +356,7 @@
             **fields,
         )
         self.state.directory.apply(self.state.own)
-        self._publish_own()
-
-    def _publish_own(self) -> None:
-        self.gossip.push_soon()
-        self.member_sync.write_soon()
+        self.control.publish_own()
 
 
 @dataclass
--- a/packages/endivebeam-sidecar/tests/test_call_costs.py
+++ b/packages/endivebeam-sidecar/tests/test_call_costs.py
@@ -18,7 +18,13 @@
 CALLS = 20
 # Files with background work, which goes on while the calls are counted.
 BACKGROUND = frozenset(
-    {"_allowances.py", "_gossip.py", "_store_sync.py", "_config_transfer.py"}
+    {
+        "_allowances.py",
+        "_gossip.py",
+        "_config_reader.py",
+        "_member_sync.py",
+        "_config_transfer.py",
+    }
 )
 COUNTED = frozenset({"create_task", "call_later", "create_future", "write"})
 
--- a/packages/endivebeam-sidecar/tests/test_planned_stops.py
+++ b/packages/endivebeam-sidecar/tests/test_planned_stops.py
@@ -106,7 +106,7 @@
             async with stopping.connect() as connection:
                 await connection.send("/vans/x")
                 await wait_until(lambda: len(other.target.received) == 1)
-                monkeypatch.setattr(other.sidecar._gossip, "handle_request", reply)
+                monkeypatch.setattr(other.sidecar._control, "handle_sync", reply)
                 stopping.stop.set()
                 await wait_until(lambda: not stopping.sidecar.is_ready)
                 await wait_until(lambda: bool(departures))
