Log changes of a node's state while served requests use up the budget of lines

Lines about served requests use the budget up to its reserve, and the reserve was for warnings only; lines about the node's state count as urgent now. Their number is still bounded by the budget.

Test: test_are_logged_while_served_requests_use_up_the_budget, failed before.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_logs.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_logs.py
@@ -21,7 +21,7 @@
 
 LINES_PER_S = 200.0
 BURST_LINES = 600.0
-# The last third of the budget is reserved for lines that explain a failure.
+# The last third of the budget is reserved for failures and changes of state.
 RESERVED_LINES = BURST_LINES / 3
 MAX_PENDING_BYTES = 1 << 20
 # Lines written within this time share one system call.
@@ -116,7 +116,8 @@
     budget = LineBudget(clock=clock)
 
     def is_within_budget(record: "Record") -> bool:
-        return budget.try_acquire(urgent=record["level"].no >= 30)
+        # These lines are about the state of the node, not about single requests.
+        return budget.try_acquire(urgent=True)
 
     def write(message: "Message") -> None:
         omitted, budget.omitted = budget.omitted, 0
--- a/packages/endivebeam-sidecar/tests/test_logs.py
+++ b/packages/endivebeam-sidecar/tests/test_logs.py
@@ -2,6 +2,10 @@
 
 import json
 import os
+from collections.abc import Iterator
+
+import pytest
+from loguru import logger
 
 from endivebeam_sidecar import (
     AttemptDetail,
@@ -9,6 +13,7 @@
     DecisionLog,
     LineBudget,
     LineWriter,
+    configure_logging,
 )
 from endivebeam_sidecar._logs import BURST_LINES, LINES_PER_S
 
@@ -104,14 +109,43 @@
             writer.write(b"%08d %s\n" % (number, b"x" * 190))
             writer.flush()
         assert writer.dropped > 0
-        received = bytearray()
         os.set_blocking(read, False)
-        while True:
-            try:
-                received += os.read(read, 1 << 20)
-            except BlockingIOError:
-                break
-            writer.flush()
-        lines = bytes(received).splitlines()
+        lines = read_all(read, writer).splitlines()
         assert all(len(line) == 199 for line in lines)
         assert [int(line[:8]) for line in lines] == list(range(len(lines)))
+
+
+class TestStateChanges:
+    @pytest.fixture
+    def own_logging(self) -> Iterator[None]:
+        """Restore the logging of other tests afterwards."""
+        yield
+        logger.remove()
+
+    def test_are_logged_while_served_requests_use_up_the_budget(
+        self, own_logging: None
+    ):
+        # Guards against logs that lack the version in force when requests are many.
+        reader, descriptor = os.pipe()
+        os.set_blocking(reader, False)
+        logs = configure_logging(
+            node_id="n1", level="INFO", clock=Clock(), descriptor=descriptor
+        )
+        for _ in range(10_000):
+            logs.decisions.write(Decision.ANSWERED, make_detail)
+        logger.bind(version=9).info("config: A new version is in force.")
+        last = json.loads(read_all(reader, logs.writer).splitlines()[-1])
+        assert last["message"] == "A new version is in force."
+        assert last["version"] == 9
+        assert last["omitted"] > 0
+
+
+def read_all(reader: int, writer: LineWriter) -> bytes:
+    """Return what a writer has buffered and written."""
+    received = bytearray()
+    while True:
+        writer.flush()
+        try:
+            received += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            return bytes(received)
