Deny a route or key only with evidence within the bound of changes

What callers saw: a 404 or 401, which no client retries, for a route or key that was added in a version that the node should have had and had not.

Now such a request gets 503 with Retry-After once the evidence is older than the bound, and the denial is final only while it is younger.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -38,7 +38,6 @@
 STALE_RETRY_AFTER_S = 0.5
 # Another node is there at once.
 STOPPING_RETRY_AFTER_S = 0.05
-# Without any evidence the age is infinite, which JSON cannot represent.
 _BEARER = b"bearer "
 
 
@@ -63,7 +62,10 @@
         self._sender = sender
         self._target = target
         self._metrics = metrics
-        self._key_trust_s = settings.bounds.key_withdrawal_s * KEY_TRUST_FRACTION
+        bounds = settings.bounds
+        self._key_trust_s = bounds.key_withdrawal_s * KEY_TRUST_FRACTION
+        # A route or key that is missing may be in a version that is due after this.
+        self._denial_trust_s = min(bounds.propagation_s, self._key_trust_s)
         self._selectors: dict[str, WeightedSelector] = {}
         self.planned_stop: PlannedStop | None = None
         names = settings.headers
@@ -128,7 +130,9 @@
         host = (request.get(b"host") or b"").decode("latin-1")
         route = index.find_route(host, request.target)
         if route is None:
-            return self._refuse_unless_stale(RefusalReason.NO_ROUTE, "no route matches")
+            return self._deny_unless_outdated(
+                RefusalReason.NO_ROUTE, "no route matches"
+            )
         terms = self._find_account(index, route, request)
         if isinstance(terms, Refusal):
             return terms
@@ -176,20 +180,20 @@
             return _not_ready(f"keys were last confirmed {age_s:.1f} s ago")
         value = request.get(b"authorization") or b""
         if value[: len(_BEARER)].lower() != _BEARER:
-            return Refusal(
-                reason=RefusalReason.KEY_MISSING, message="the request has no key"
+            return self._deny_unless_outdated(
+                RefusalReason.KEY_MISSING, "the request has no key"
             )
         key = value[len(_BEARER) :].strip().decode("latin-1")
         terms = index.find_account(key)
         if terms is None:
-            return Refusal(
-                reason=RefusalReason.KEY_UNKNOWN, message="the key is not known"
+            return self._deny_unless_outdated(
+                RefusalReason.KEY_UNKNOWN, "the key is not known"
             )
         return terms
 
-    def _refuse_unless_stale(self, reason: RefusalReason, message: str) -> Refusal:
-        # The route may exist in a newer version that this node has not received.
-        if self._fleet.freshness.age_s(read_clock()) > self._key_trust_s:
+    def _deny_unless_outdated(self, reason: RefusalReason, message: str) -> Refusal:
+        """Return a refusal that is final only if the configuration is recent."""
+        if self._fleet.freshness.age_s(read_clock()) > self._denial_trust_s:
             return _not_ready("the configuration may be outdated")
         return Refusal(reason=reason, message=message)
 
--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -370,6 +370,27 @@
             assert (await node.call("/open/x", key=None)).status == 200
             assert (await node.call("/none/x")).status == 503
 
+    @pytest.mark.parametrize(
+        ("target", "key", "status"),
+        [("/none/x", KEY, 404), ("/look/x", "new", 401), ("/look/x", None, 401)],
+        ids=["route", "key", "no key"],
+    )
+    async def test_denial_needs_evidence_within_the_bound_of_changes(
+        self, target: str, key: str | None, status: int
+    ):
+        # Guards against a final refusal of a route or key that was added in a version
+        # that should have arrived and has not.
+        bounds = Bounds(propagation_s=1.0, key_withdrawal_s=10.0)
+        async with run_fleet(bounds=bounds) as fleet:
+            node = fleet.nodes[0]
+            assert (await node.call(target, key=key)).status == status
+            fleet.store.is_unavailable = True
+            await wait_until(lambda: node.sidecar.config_age_s > 1.0)
+            outdated = await node.call(target, key=key)
+            assert outdated.status == 503
+            assert outdated.get(b"retry-after") is not None
+            assert (await node.call("/look/x")).status == 200
+
 
 class TestAllowances:
     async def test_lost_holder_is_not_used_again_before_it_replies(self):
