Derive the age up to which keys are trusted from its bound

At 3 s a key could work 0.16 s too long. At 5 s, the bound of all deployments seen, nothing changes.

Test: test_leaves_time_for_a_change_that_a_watch_misses fails on the fraction alone (at 3.0 s).

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_propagation.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_propagation.py
@@ -23,6 +23,12 @@
 # Delays vary by this factor, so that nodes that fail together do not retry together.
 JITTER = (0.7, 1.3)
 RETRY_GROWTH = 4.0
+# Part of the bound on key withdrawal for which evidence about keys is trusted.
+KEY_TRUST_FRACTION = 0.72
+# A watch of the store may miss changes for this long.
+MAX_WATCH_LAG_S = 1.0
+# Time from the check of a key until its request reaches a target.
+FORWARD_S = 0.2
 # Round trips of a call to the store on a new connection.
 ROUND_TRIPS_PER_CALL = 2
 # Round trips until a peer has a configuration of two parts: the message that there is
@@ -68,6 +74,20 @@
     )
 
 
+def compute_key_trust_s(withdrawal_s: float) -> float:
+    """Return the age of evidence up to which keys are accepted.
+
+    With evidence of that age a key that was withdrawn stops working within
+    ``withdrawal_s``, even if a watch missed the change. A bound that is too short for
+    that is halved.
+
+    >>> round(compute_key_trust_s(5.0), 3)
+    3.6
+    """
+    latest_s = withdrawal_s - MAX_WATCH_LAG_S - FORWARD_S
+    return min(KEY_TRUST_FRACTION * withdrawal_s, max(latest_s, withdrawal_s / 2))
+
+
 def compute_worst_case_s(times: PropagationTimes, *, round_trip_s: float) -> float:
     """Return the longest time from an acknowledged change until it is in force.
 
--- a/packages/endivebeam-fleet/tests/test_propagation.py
+++ b/packages/endivebeam-fleet/tests/test_propagation.py
@@ -5,6 +5,7 @@
 
 from endivebeam_fleet import (
     compute_call_timeout_s,
+    compute_key_trust_s,
     compute_retry_delay_s,
     compute_takeover_age_s,
     compute_worst_case_s,
@@ -30,6 +31,18 @@
         assert times.watch_s + 1.2 * times.sync_period_s < times.first_takeover_s
 
 
+class TestKeyTrust:
+    @given(st.floats(2.5, 60.0))
+    def test_leaves_time_for_a_change_that_a_watch_misses(self, withdrawal_s: float):
+        # Guards against a withdrawn key that works beyond a bound other than 5 s.
+        missed_s = 1.0
+        assert compute_key_trust_s(withdrawal_s) + missed_s < withdrawal_s
+
+    @given(st.floats(0.1, 60.0))
+    def test_is_never_longer_than_the_bound(self, withdrawal_s: float):
+        assert 0 < compute_key_trust_s(withdrawal_s) < withdrawal_s
+
+
 class TestTakeover:
     @given(BOUNDS_S, st.integers(3, 500), st.integers(1, 30_000))
     def test_age_is_between_first_and_last_and_grows_with_the_rank(
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -6,7 +6,13 @@
 
 from loguru import logger
 
-from endivebeam_fleet import AccountTerms, ConfigIndex, RouteRule, WeightedSelector
+from endivebeam_fleet import (
+    AccountTerms,
+    ConfigIndex,
+    RouteRule,
+    WeightedSelector,
+    compute_key_trust_s,
+)
 from endivebeam_http import (
     HOP_BY_HOP,
     Exchange,
@@ -29,9 +35,6 @@
 from ._state import FleetState
 from ._target import LocalTarget
 
-# Fraction of the bound on key withdrawal for which the evidence about keys is trusted.
-# The rest covers changes that a watch of the store reports late.
-KEY_TRUST_FRACTION = 0.72
 # Larger than any rank of a route, so that the rank of the account decides first.
 ACCOUNT_RANK_STEP = 4
 RATE_RETRY_AFTER_S = 0.5
@@ -63,7 +66,7 @@
         self._target = target
         self._metrics = metrics
         bounds = settings.bounds
-        self._key_trust_s = bounds.key_withdrawal_s * KEY_TRUST_FRACTION
+        self._key_trust_s = compute_key_trust_s(bounds.key_withdrawal_s)
         # A route or key that is missing may be in a version that is due after this.
         self._denial_trust_s = min(bounds.propagation_s, self._key_trust_s)
         self._selectors: dict[str, WeightedSelector] = {}
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_control.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_control.py
@@ -5,7 +5,12 @@
 import anyio
 from loguru import logger
 
-from endivebeam_fleet import PropagationTimes, compute_worst_case_s, plan_propagation
+from endivebeam_fleet import (
+    PropagationTimes,
+    compute_key_trust_s,
+    compute_worst_case_s,
+    plan_propagation,
+)
 from endivebeam_model import NodeId
 from endivebeam_wire import ConfigReply, ConfigRequest, SyncReply, SyncRequest
 
@@ -40,7 +45,8 @@
         bounds: Bounds,
     ) -> None:
         # Keys are trusted only while the evidence for the configuration is recent.
-        times = plan_propagation(min(bounds.propagation_s, bounds.key_withdrawal_s))
+        key_trust_s = compute_key_trust_s(bounds.key_withdrawal_s)
+        times = plan_propagation(min(bounds.propagation_s, key_trust_s))
         _check_propagation(times)
         access = StoreAccessLog(metrics=metrics)
         self.watchers = StoreWatchers(fleet=fleet, unreachable=unreachable)
