Hold the model to nodes that only reach a reader of the store

The check covered nodes whose own path to the store is sound. It now also covers each node that is linked to one.

--- a/packages/endivebeam-sidecar/tests/test_config_propagation.py
+++ b/packages/endivebeam-sidecar/tests/test_config_propagation.py
@@ -18,7 +18,7 @@
 )
 
 PROPAGATION_S = 2.0
-# After trouble of its own, a node has this long until it must keep the bound again.
+# After trouble a node has this long until it must keep the bound again.
 STABILITY_S = 3.0
 SETTLE_S = 12.0
 CHECK_PERIOD_S = 0.01
@@ -170,15 +170,23 @@
             )
 
     def _must_be_current(self, node: VirtualNode, now: float) -> bool:
-        """Return whether a node had a sound path to the store and to its peers."""
-        store = self._fleet.store
-        quiet_since = max(
-            node.started_at,
-            store.changed_at.get(node.node_id, 0.0),
-            self._fleet.cut_changed_at.get(node.node_id, 0.0),
+        """Return whether a node reaches the store or a node that reaches it."""
+        if not self._is_linked(node, now):
+            return False
+        return any(
+            self._is_linked(other, now) and self._reaches_store(other, now)
+            for other in self._fleet.nodes.values()
         )
-        sound = store.answers(node.node_id) and node.node_id not in self._fleet.cut
-        return sound and now - quiet_since > STABILITY_S
+
+    def _is_linked(self, node: VirtualNode, now: float) -> bool:
+        changed_at = self._fleet.cut_changed_at.get(node.node_id, 0.0)
+        quiet_s = now - max(node.started_at, changed_at)
+        return node.node_id not in self._fleet.cut and quiet_s > STABILITY_S
+
+    def _reaches_store(self, node: VirtualNode, now: float) -> bool:
+        store = self._fleet.store
+        quiet_s = now - store.changed_at.get(node.node_id, 0.0)
+        return store.answers(node.node_id) and quiet_s > STABILITY_S
 
 
 class TestRandomTrouble:
