Look for the store again within the stability window; rank nodes only when needed

A node that had lost the store waited up to 0.75 of the bound for an answer and then 0.65 of it for its next try: with a bound of 3 s 4.2 s, more than the 4 s after which it must keep the bound again.

A node ranks itself among all others only once its evidence is old enough for a takeover, and forgets earlier failures when it relies on others again.

--- a/packages/endivebeam-fleet/tests/test_propagation.py
+++ b/packages/endivebeam-fleet/tests/test_propagation.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from endivebeam_fleet import (
+    JITTER,
     compute_call_timeout_s,
     compute_key_trust_s,
     compute_retry_delay_s,
@@ -15,6 +16,8 @@
 BOUNDS_S = st.floats(1.0, 60.0)
 # Part of the bound that a message and its reply take at most.
 MAX_ROUND_TRIP_PART = 0.05
+# Least stability window of a deployment, as a part of the bound.
+STABILITY_PART = 1.2
 
 
 class TestWorstCase:
@@ -74,6 +77,16 @@
 
 
 class TestRetries:
+    @given(BOUNDS_S)
+    def test_reader_finds_the_store_again_within_the_stability_window(
+        self, bound_s: float
+    ):
+        # Guards against a node that waits for a lost answer, and then for its next try,
+        # for longer than it has after the store is back.
+        times = plan_propagation(bound_s)
+        pause_s = times.max_call_timeout_s + times.max_retry_s * JITTER[1]
+        assert pause_s < STABILITY_PART * bound_s
+
     @given(BOUNDS_S, st.integers(1, 50))
     def test_delay_and_timeout_grow_to_a_limit_below_the_bound(
         self, bound_s: float, failures: int
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_reader.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_reader.py
@@ -61,9 +61,12 @@
     async def run(self) -> None:
         """Read the store whenever this node is a reader, until cancelled."""
         while True:
-            if not self._is_reader():
+            left_s = self._time_to_reading_s()
+            if left_s > 0:
                 self._log_reading(False)
-                await anyio.sleep(self._check_delay_s())
+                self._failures = 0
+                pause_s = max(MIN_CHECK_PERIOD_S, min(MAX_CHECK_PERIOD_S, left_s))
+                await anyio.sleep(pause_s)
                 continue
             try:
                 await self._read()
@@ -74,24 +77,23 @@
                 delay_s = compute_retry_delay_s(self._times, failures=self._failures)
                 await anyio.sleep(delay_s * random.uniform(*JITTER))
 
-    def _is_reader(self) -> bool:
+    def _time_to_reading_s(self) -> float:
+        """Return for how long this node may rely on others; 0 if it is a reader."""
         if self._position is None or self._watchers.includes_self():
-            return True
-        return self._age_s() > self._takeover_age_s()
+            return 0.0
+        age_s = self._age_s()
+        left_s = self._times.first_takeover_s - age_s
+        if left_s <= 0:
+            rank, nodes = self._watchers.own_rank()
+            takeover_age_s = compute_takeover_age_s(
+                self._times, rank=rank, watchers=self._watchers.count(), nodes=nodes
+            )
+            left_s = takeover_age_s - age_s
+        return max(0.0, left_s)
 
     def _age_s(self) -> float:
         return self._fleet.freshness.age_s(read_clock())
 
-    def _takeover_age_s(self) -> float:
-        rank, nodes = self._watchers.own_rank()
-        return compute_takeover_age_s(
-            self._times, rank=rank, watchers=self._watchers.count(), nodes=nodes
-        )
-
-    def _check_delay_s(self) -> float:
-        left_s = self._takeover_age_s() - self._age_s()
-        return min(MAX_CHECK_PERIOD_S, max(MIN_CHECK_PERIOD_S, left_s))
-
     async def _read(self) -> None:
         # The first call of a reader, or after a failure, does not wait for a change.
         begins = not self._reading or self._failures > 0
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -9,11 +9,7 @@
 import anyio.abc
 from loguru import logger
 
-from endivebeam_fleet import (
-    Announcement,
-    FleetRetryBudget,
-    Tolerance,
-)
+from endivebeam_fleet import Announcement, FleetRetryBudget, Tolerance
 from endivebeam_http import (
     Exchange,
     ExchangeHandler,
