--- a/tests/thistlegate/test_translation.py
+++ b/tests/thistlegate/test_translation.py
@@ -56,6 +56,25 @@
         assert settings.sidecar.bounds.stop_s == 7.5
         assert settings.store.port == 8545
 
+    def test_bound_of_changes_is_read(self):
+        # Guards against a bound that a constant stands in for.
+        text = SETTINGS + "terms.bounds.configPropagationS=15\n"
+        assert read_settings(text).sidecar.bounds.propagation_s == 15
+
+    def test_bound_of_zero_is_not_in_force(self):
+        # Guards against a node that doesn't start, or watches without a pause.
+        text = SETTINGS.replace("revokeS=4", "revokeS=0")
+        text += "terms.bounds.configPropagationS=0\n"
+        bounds = read_settings(text).sidecar.bounds
+        assert bounds.propagation_s > 0
+        assert bounds.key_withdrawal_s > 0
+
+    @pytest.mark.parametrize("value", ["-1", "nan", "inf"])
+    def test_bound_that_is_no_duration_is_an_error(self, value: str):
+        text = SETTINGS + f"terms.bounds.configPropagationS={value}\n"
+        with pytest.raises(SettingsError):
+            read_settings(text)
+
     def test_all_errors_are_reported_together(self):
         text = SETTINGS.replace("localNode.zone=zone-a\n", "").replace("=7.5", "=x")
         text = text.replace("8501", "port")
