Simplify the model of configuration changes

Removes a parameter that nothing used, a wrapper of one line, an argument that was always the same and a copy of a record's fields by hand.

--- a/packages/endivebeam-sidecar/tests/_virtual_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_fleet.py
@@ -14,6 +14,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 import pytest
 
 from endivebeam_fleet import FleetConfig
@@ -344,16 +345,8 @@
 
     def _serve(self) -> None:
         own = self.state.own
-        fields = {"state": MemberState.SERVING, "sequence": own.sequence + 1}
-        self.state.own = Member(
-            node_id=own.node_id,
-            incarnation=own.incarnation,
-            address=own.address,
-            region=own.region,
-            domain=own.domain,
-            service=own.service,
-            slots=8,
-            **fields,
+        self.state.own = msgspec.structs.replace(
+            own, state=MemberState.SERVING, sequence=own.sequence + 1, slots=8
         )
         self.state.directory.apply(self.state.own)
         self.control.publish_own()
--- a/packages/endivebeam-sidecar/tests/test_config_propagation.py
+++ b/packages/endivebeam-sidecar/tests/test_config_propagation.py
@@ -3,7 +3,6 @@
 import math
 import os
 import random
-from collections.abc import Iterable
 
 import anyio
 import pytest
@@ -39,12 +38,10 @@
     return {n for n, node in fleet.nodes.items() if node.watchers.includes_self()}
 
 
-def find_late(
-    fleet: VirtualFleet, nodes: Iterable[VirtualNode], version: int
-) -> list[str]:
+def find_late(fleet: VirtualFleet, version: int) -> list[str]:
     return [
         f"{node.node_id} has {node.version} for {version}"
-        for node in nodes
+        for node in fleet.nodes.values()
         if node.version < version
     ]
 
@@ -70,7 +67,7 @@
                     fleet.store.publish()
                     version = fleet.store.config.version
                     await anyio.sleep(PROPAGATION_S)
-                    assert not find_late(fleet, fleet.nodes.values(), version)
+                    assert not find_late(fleet, version)
                 tasks.cancel_scope.cancel()
 
         run_in_virtual_time(monkeypatch, run, seed=seed)
@@ -85,10 +82,10 @@
         self.violations: list[str] = []
         self._highest: dict[tuple[NodeId, float], int] = {}
 
-    async def run(self, tasks: anyio.abc.TaskGroup, *, length_s: float) -> None:
+    async def run(self, *, length_s: float) -> None:
         """Run all kinds of trouble for a while."""
         with anyio.move_on_after(length_s):
-            async with anyio.create_task_group() as inner:
+            async with anyio.create_task_group() as tasks:
                 for loop in (
                     self._trouble_store,
                     self._cut_links,
@@ -96,7 +93,7 @@
                     self._publish,
                     self._check,
                 ):
-                    inner.start_soon(loop)
+                    tasks.start_soon(loop)
 
     async def _trouble_store(self) -> None:
         while True:
@@ -108,7 +105,7 @@
             )
             if random.random() < 0.7:
                 await anyio.sleep(random.uniform(0.01, 0.2))
-                self._publish_one()
+                self._fleet.store.publish()
             await anyio.sleep(random.uniform(0.3, 6))
             self._fleet.store.end_trouble()
 
@@ -134,10 +131,7 @@
     async def _publish(self) -> None:
         while True:
             await anyio.sleep(random.uniform(0.1, 3))
-            self._publish_one()
-
-    def _publish_one(self) -> None:
-        self._fleet.store.publish()
+            self._fleet.store.publish()
 
     async def _check(self) -> None:
         while True:
@@ -200,7 +194,7 @@
             async with anyio.create_task_group() as tasks:
                 fleet = await start_fleet(tasks, size=random.choice([4, 7, 13, 25]))
                 trouble = Trouble(fleet, bound_s=PROPAGATION_S)
-                await trouble.run(tasks, length_s=60.0)
+                await trouble.run(length_s=60.0)
                 assert trouble.violations == []
                 tasks.cancel_scope.cancel()
 
