--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -24,6 +24,8 @@
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 # A case may run for 120 s.
 LIMIT_S = 100.0
+# On the platform too, traffic starts some time after the machines.
+SETTLE_S = 4.0
 # Without the disruption the rule must hold.
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
