--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,122 +1,129 @@
-"""A late ping of a backend that has left, at a node that was started again meanwhile.
+"""Callers that pause while they read, on connections that are kept open.
 
-A backend says with ``DELETE`` that it leaves, and its node acknowledges. The node is
-killed and started again; then a ping arrives that the backend had sent before. No
-request may reach the backend later than ``drainS`` after the acknowledgement.
+Each caller looks something up and gets the response. It sends two more lookups on the
+same connection, reads nothing for a while and then goes on. Each must be answered.
 """
 
-import time
+import asyncio
+import socket
 from pathlib import Path
 
 import anyio
-import msgspec
-from harness import HAS_TROUBLE, SETTLE_S, CaseRecord, run_case
+from harness import HAS_TROUBLE, SETTLE_S, CaseRecord, format_address, run_case
 
 from thistlegate_standin import (
     AccountConfig,
     Plan,
     RouteConfig,
     TargetConfig,
-    TargetStandin,
-    Workload,
+    _targets,
     run_deployment,
 )
+from thistlegate_standin._machines import Machine
 
-DRAIN_S = 2.0
-STABILITY_WINDOW_S = 3.0
-# The ping is this late.
-LATE_S = 4.5
-# From the ping to the DELETE, and from its acknowledgement to the kill.
-STEP_S = 0.3
-# The backend serves on for this time after the late ping.
-STAY_S = 3.0
-LOAD_S = 20.0
-BOOK = RouteConfig(name="book", service="bookings", kind="non_idempotent")
-FIT = AccountConfig(name="fit", keys=("key-of-fit",))
+# As long as the longest responses of the site.
+BODY_BYTES = 36_000
+CALLERS = 6
+BUDGET_S = 8.0
+PAUSE_S = 5.6 if HAS_TROUBLE else 2.0
+# The segments of Ethernet and a small window.
+SEGMENT_BYTES = 1448
+WINDOW_BYTES = 4096
+READ_BYTES = 16384
+HEADER_END = b"\r\n\r\n"
+KEY = "key-of-fit"
+LOOK = RouteConfig(name="look", service="deliveries", timeout_s=BUDGET_S)
 PLAN = Plan(
-    services={"catalogue": 2, "bookings": 1},
-    target_configs={
-        "catalogue": TargetConfig(),
-        "bookings": TargetConfig(work_s=0.02, constant_work=True),
-    },
-    routes=(BOOK,),
-    accounts=(FIT,),
-)
-LOAD = Workload(
-    route=BOOK, account=FIT.name, key=FIT.keys[0], rate_per_s=20.0, budget_s=2.0
+    services={"deliveries": 3},
+    target_configs={"deliveries": TargetConfig(work_s=0.05, constant_work=True)},
+    routes=(LOOK,),
+    accounts=(AccountConfig(name="fit", keys=(KEY,)),),
 )
 
 
-def make_ping(target: TargetStandin) -> bytes:
-    """Return the next ping of a backend that is ready, as the stand-in encodes it."""
-    target._sequence += 1
-    return msgspec.json.encode(
-        {
-            "address": f"{target.machine.ip}:{target.machine.target.port}",
-            "born": target._started_ms,
-            "info": {
-                "service": target.machine.service,
-                "version": "v1",
-                "zone": target.machine.zone,
-                "slots": target.config.slots,
-            },
-            "status": {"state": "ready", "seq": target._sequence, "coldLeftS": 0.0},
-        }
-    )
-
-
-async def say_nothing() -> bool:
-    """Take the place of the pings of a backend that has left."""
-    return True
-
-
-async def leave(target: TargetStandin) -> float:
-    """Say that a backend leaves; return when its node acknowledged that."""
-    target.announce = say_nothing  # type: ignore[method-assign]
-    await anyio.sleep(STEP_S)
-    if not await target._send_to_node("DELETE", b""):
-        raise RuntimeError("the node didn't acknowledge that the backend leaves")
-    return time.monotonic()
-
-
-async def run_departure(record: CaseRecord) -> str:
-    """Let the backend leave; return how many requests reached it too late."""
+def make_body(call_id: str, path: str) -> bytes:
+    """Return a long body, in place of the short one of the stand-in."""
+    text = f"{call_id} {path} ".encode()
+    return (text * (BODY_BYTES // len(text) + 1))[:BODY_BYTES]
+
+
+_targets.make_body = make_body
+
+
+class Caller:
+    """A caller with one connection, which it keeps open."""
+
+    def __init__(self, *, name: str, machine: Machine, record: CaseRecord) -> None:
+        self._name = name
+        self._machine = machine
+        self._record = record
+        self._received = b""
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        self._socket.setblocking(False)
+
+    async def run(self, lost: list[str]) -> None:
+        """Look up three times; add the ids of the lookups without a whole answer."""
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self._socket, format_address(self._machine.callers))
+        first, *others = [f"{self._name}-{number}" for number in range(3)]
+        await self._send(first)
+        if not await self._receive(first):
+            raise RuntimeError("the first lookup was not answered")
+        for call_id in others:
+            await self._send(call_id)
+        await anyio.sleep(PAUSE_S)
+        for call_id in others:
+            if not await self._receive(call_id):
+                lost.append(call_id)
+        self._socket.close()
+
+    async def _send(self, call_id: str) -> None:
+        request = (
+            f"GET {LOOK.path} HTTP/1.1\r\nhost: shop.example\r\n"
+            f"x-request-id: {call_id}\r\nx-deadline-ms: {int(BUDGET_S * 1000)}\r\n"
+            f"authorization: Bearer {KEY}\r\n\r\n"
+        )
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(self._socket, request.encode())
+        self._record.add(f"{call_id} sent at {self._machine.name}")
+
+    async def _receive(self, call_id: str) -> bool:
+        """Read one response; return whether it is whole and the right one."""
+        loop = asyncio.get_running_loop()
+        while True:
+            _, end, body = self._received.partition(HEADER_END)
+            if end and len(body) >= BODY_BYTES:
+                self._received = body[BODY_BYTES:]
+                self._record.add(f"{call_id} answered")
+                return body[:BODY_BYTES] == make_body(call_id, LOOK.path)
+            try:
+                part = await loop.sock_recv(self._socket, READ_BYTES)
+            except OSError as error:
+                self._record.add(f"{call_id}: {error}, {len(body)} bytes of the body")
+                return False
+            if not part:
+                self._record.add(f"{call_id}: closed, {len(body)} bytes of the body")
+                return False
+            self._received += part
+
+
+async def run_pause(record: CaseRecord) -> str:
+    """Let callers pause; return which lookups got no whole answer."""
+    lost: list[str] = []
     async with run_deployment(PLAN, seed=1) as deployment:
         await anyio.sleep(SETTLE_S)
-        entry = deployment.machines[0]
-        machine = next(m for m in deployment.machines if m.service == "bookings")
-        node, target = deployment.nodes[machine.name], deployment.targets[machine.name]
-        deployment.load.accepts_callers = lambda m: m.name == entry.name
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(deployment.apply_load, [LOAD], LOAD_S)
-            await anyio.sleep(1.0)
-            ping, sent_at = make_ping(target), time.monotonic()
-            record.add(f"{target.instance} sends a ping, which is late")
-            acknowledged_at = await leave(target)
-            record.add(f"the node acknowledged that {target.instance} leaves")
-            in_touch_at = acknowledged_at
-            if HAS_TROUBLE:
-                await anyio.sleep(STEP_S)
-                record.add(f"SIGKILL to the node of {machine.name}")
-                node.kill()
-                await node.wait_for_restart()
-                record.add("the node is started again")
-                in_touch_at = time.monotonic() + STABILITY_WINDOW_S
-            await anyio.sleep(sent_at + LATE_S - time.monotonic())
-            if HAS_TROUBLE:
-                await target._send_to_node("PUT", ping)
-                record.add("the late ping arrived and was acknowledged")
-            await anyio.sleep(STAY_S)
-            target.kill()
-            record.add(f"{target.instance} ends")
-            tasks.cancel_scope.cancel()
+            for number in range(CALLERS):
+                caller = Caller(
+                    name=f"look-{number}",
+                    machine=deployment.machines[0],
+                    record=record,
+                )
+                tasks.start_soon(caller.run, lost)
         record.add_traffic(deployment.records)
-        bound = max(acknowledged_at + DRAIN_S, in_touch_at)
-        late = [r for r in deployment.records.runs if r.started_at > bound]
-    if not late:
-        return ""
-    first_s = late[0].started_at - acknowledged_at
-    return f"{len(late)} requests reached the backend late, {first_s:.2f} s and more"
+    return f"no answers to {', '.join(sorted(lost))}" if lost else ""
 
 
-run_case(Path(__file__).parent, run_departure)
+run_case(Path(__file__).parent, run_pause)
