Review case 6: stop one machine after the other

Cause: the case sent SIGTERM to several machines at the same moment; the largest dose of roll_term stops one at a time, 1 s or more apart. The case keeps to that now.

What the case shows: the same as before, bookings that run and are cut at the end of a planned stop (rule LOST).

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -30,9 +30,11 @@
 # Each machine is the only one of its zone, so that its callers stay with it.
 MACHINES = 4
 STOPPED = 3
-ROUNDS = 15
+ROUNDS = 13
 # From a node's start until it is stopped again.
 UP_S = 1.5
+# Least time between two SIGTERMs to any of the machines.
+GAP_S = 1.1
 CALLERS = 10
 MEAN_PAUSE_S = 0.03
 BUDGET_S = 1.2
@@ -107,12 +109,26 @@
         await anyio.sleep(rng.uniform(0, 2 * MEAN_PAUSE_S))
 
 
+class Pace:
+    """Lets one stop begin after the other."""
+
+    def __init__(self) -> None:
+        self._next_at = 0.0
+
+    async def wait(self) -> None:
+        """Wait until ``GAP_S`` after the stop that began last."""
+        while (left_s := self._next_at - time.monotonic()) > 0:
+            await anyio.sleep(left_s)
+        self._next_at = time.monotonic() + GAP_S
+
+
 async def stop_repeatedly(
-    deployment: Deployment, machine: Machine, record: CaseRecord
+    deployment: Deployment, machine: Machine, record: CaseRecord, pace: Pace
 ) -> None:
     """Stop a node as planned each time it has been up for a while."""
     node = deployment.nodes[machine.name]
     for _ in range(ROUNDS):
+        await pace.wait()
         starts = node.starts
         record.add(f"SIGTERM to the node of {machine.name}")
         node.signal(signal.SIGTERM)
@@ -136,8 +152,11 @@
             await anyio.sleep(UP_S)
             if HAS_TROUBLE:
                 async with anyio.create_task_group() as stops:
+                    pace = Pace()
                     for machine in stopped:
-                        stops.start_soon(stop_repeatedly, deployment, machine, record)
+                        stops.start_soon(
+                            stop_repeatedly, deployment, machine, record, pace
+                        )
             else:
                 await anyio.sleep(10 * UP_S)
             callers.cancel_scope.cancel()
