End the intake of requests in one step at the end of a planned stop

Cause: the stop looked whether anything was in progress, and closed the listener and the connections some awaits later: it first cancelled the announcement of the departure and waited for its end, then left its task group. Requests that arrived in between were read and passed on, then cut.

Evidence: the new test runs the node's own coroutine with a pause after each of its awaits and sends requests in one pause, for each await in turn. On the old code it fails for one await of twelve, [asyncio-7] and [uvloop-7]: that in which the announcement is cancelled. With an announcement that has already ended it fails for none, which is ruled out as the cause: leaving the outer task group closes the server before a request gets further.

Why it works: the look and the end of the intake are one step without an await. From then on connections are refused, connections without a whole request are closed unread, and the process waits for the responses to what it has accepted.

--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -137,9 +137,15 @@
         """Send ``Connection: close`` with the response to the last open request."""
         self._close_announced = True
 
-    def close_idle(self) -> None:
-        """Close the connection if no request is in progress."""
-        if self.is_idle:
+    def end_intake(self) -> None:
+        """Accept no further request; respond to the open ones, then close.
+
+        A request of which a part was received is not accepted.
+        """
+        if self._open:
+            self._close_announced = True
+            self._phase = _Phase.ENDING
+        elif self._phase is not _Phase.LINGERING:
             self.close()
 
     def close(self) -> None:
@@ -319,6 +325,7 @@
         self._connections: set[PipelinedConnection] = set()
         self._tasks = TaskSet()
         self._close_announced = False
+        self._listener: TcpListener | None = None
 
     def __len__(self) -> int:
         """Return the number of open connections."""
@@ -331,6 +338,7 @@
 
     async def serve(self, listener: TcpListener) -> None:
         """Serve until cancelled, then close the listener and all connections."""
+        self._listener = listener
         async with listener:
             listener.accept(self._start)
             try:
@@ -352,10 +360,17 @@
         for connection in self._connections:
             connection.announce_close()
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
+    def end_intake(self) -> None:
+        """Accept no connection and no request from now on.
+
+        Requests that were received whole still get their responses. This happens at
+        once: between a look at ``busy_connections`` and this call, as long as nothing
+        is awaited, no request can arrive.
+        """
+        if self._listener is not None:
+            self._listener.close()
         for connection in list(self._connections):
-            connection.close_idle()
+            connection.end_intake()
 
     def _start(self, stream: TcpStream) -> None:
         if len(self._connections) >= self._limits.max_connections:
--- a/packages/endivebeam-http/tests/test_pipeline.py
+++ b/packages/endivebeam-http/tests/test_pipeline.py
@@ -1,5 +1,6 @@
 """Tests of pipelined connections of callers over real sockets."""
 
+import asyncio
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -227,3 +228,59 @@
         with pytest.raises(ConnectionRefusedError):
             await connect_stream("127.0.0.1", port)
         await listener.aclose()
+
+
+class TestEndOfIntake:
+    async def test_open_requests_are_answered_and_later_ones_not_handled(self):
+        """Guards against requests that a server accepts although it is about to end."""
+        handled: list[str] = []
+        release = anyio.Event()
+
+        async def answer_later(exchange: Exchange) -> Response:
+            handled.append(exchange.request.target)
+            await release.wait()
+            return await echo(exchange)
+
+        async with serve(answer_later) as running:
+            busy, idle, partial = [await running.connect() for _ in range(3)]
+            await busy.send(encode("/open"))
+            await partial.send(encode("/partial", body=b"abc")[:-1])
+            while not handled or running.server.busy_connections < 2:
+                await anyio.lowlevel.checkpoint()
+            running.server.end_intake()
+            with pytest.raises(ConnectionRefusedError):
+                await connect_stream("127.0.0.1", running.port)
+            await busy.send(encode("/later"))
+            for stream in (idle, partial):
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    await stream.receive()
+            release.set()
+            (response,) = await receive(busy, 1)
+            assert response.body == b"/open "
+            assert response.get(b"connection") == b"close"
+            assert handled == ["/open"]
+
+    async def test_connection_that_waits_in_the_backlog_is_not_handled(self):
+        """Guards against a request on a connection that is accepted at the last moment.
+
+        The kernel accepts connections that the event loop has not seen yet.
+        """
+        handled: list[str] = []
+
+        async def record(exchange: Exchange) -> Response:
+            handled.append(exchange.request.target)
+            return await echo(exchange)
+
+        async with serve(record) as running:
+            await anyio.wait_all_tasks_blocked()
+            with socket.create_connection(("127.0.0.1", running.port)) as late:
+                late.sendall(encode("/late"))
+                running.server.end_intake()
+                late.setblocking(False)
+                loop = asyncio.get_running_loop()
+                try:
+                    received = await loop.sock_recv(late, 4096)
+                except ConnectionResetError:
+                    received = b""
+            assert received == b""
+            assert handled == []
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -46,7 +46,7 @@
 from ._lost_replies import KeptReplies
 from ._metrics import SidecarMetrics
 from ._peer_calls import PeerCalls
-from ._planned_stop import start_planned_stop
+from ._planned_stop import PlannedStop, start_planned_stop
 from ._settings import SidecarSettings
 from ._state import FleetState
 from ._supervision import supervise
@@ -56,6 +56,8 @@
 PROBE_PERIOD_S = 0.5
 # Part of the time for a planned stop that is reserved for closing connections.
 STOP_MARGIN_S = 1.0
+# Part of the margin for responses to the requests that were accepted last.
+LAST_RESPONSES_S = 0.5
 STOP_POLL_S = 0.05
 GAUGE_PERIOD_S = 2.0
 LAG_PERIOD_S = 1.0
@@ -266,17 +268,27 @@
         self._fleet.update_own(self._target, MemberState.LEFT)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._control.announce_departure)
-            while read_clock() < stop.ends_at:
-                await anyio.sleep(STOP_POLL_S)
-                idle = (
-                    not self._target.in_flight
-                    and not self._caller_server.busy_connections
-                )
-                if idle and read_clock() > stop.drained_at:
-                    break
+            await self._finish_requests(stop)
+            self._log_stop_end()
             tasks.cancel_scope.cancel()
-        self._log_stop_end()
-        self._caller_server.close_idle()
+
+    async def _finish_requests(self, stop: PlannedStop) -> None:
+        """Serve until nothing is in progress, then accept nothing and answer the rest.
+
+        Nothing may be awaited between the last look and the end of the intake, since a
+        request that arrives in between would be cut off.
+        """
+        while not stop.is_over(read_clock(), idle=self._is_idle):
+            await anyio.sleep(STOP_POLL_S)
+        self._caller_server.end_intake()
+        with anyio.move_on_after(LAST_RESPONSES_S):
+            while not self._is_idle:
+                await anyio.sleep(STOP_POLL_S)
+
+    @property
+    def _is_idle(self) -> bool:
+        """Whether no request of a caller and no call to the target is in progress."""
+        return not self._target.in_flight and not self._caller_server.busy_connections
 
     def _log_stop_end(self) -> None:
         """Log the end of a planned stop, as a warning if it cuts requests."""
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_planned_stop.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_planned_stop.py
@@ -11,7 +11,7 @@
 class PlannedStop(NamedTuple):
     """A stop that is under way; times are seconds of the node's clock.
 
-    Requests that are in progress at ``ends_at`` are cut off.
+    Requests are accepted until ``ends_at`` at the latest, and only if they end by then.
     """
 
     drained_at: float
@@ -24,6 +24,14 @@
         """
         return now < self.drained_at or now + needed_s <= self.ends_at
 
+    def is_over(self, now: float, *, idle: bool) -> bool:
+        """Return whether to accept no further request.
+
+        ``idle`` tells whether nothing is in progress. A node that still has to finish
+        something goes on serving meanwhile.
+        """
+        return now >= self.ends_at or (idle and now > self.drained_at)
+
 
 def start_planned_stop(*, limit_s: float, now: float) -> PlannedStop:
     """Return a stop that starts now and takes at most ``limit_s`` seconds.
--- a/packages/endivebeam-sidecar/tests/_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_fleet.py
@@ -1,5 +1,6 @@
 """A small fleet in one process: nodes, targets that can fail, and a store."""
 
+import itertools
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -303,11 +304,25 @@
             yield Connection(stream)
 
 
+_call_numbers = itertools.count()
+
+
+def encode_call(
+    target: str, *, key: str | None = KEY, method: str = "GET", **extra: str
+) -> tuple[str, bytes]:
+    """Return the id of a new request and its bytes."""
+    call_id = f"call-{next(_call_numbers)}"
+    lines = [f"{method} {target} HTTP/1.1", "host: shop.example"]
+    lines += [f"x-request-id: {call_id}", "content-length: 0"]
+    if key is not None:
+        lines.append(f"authorization: Bearer {key}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in extra.items()]
+    return call_id, "\r\n".join([*lines, "", ""]).encode()
+
+
 class Connection:
     """A caller's connection."""
 
-    _numbers = iter(range(10**9))
-
     def __init__(self, stream: anyio.abc.ByteStream) -> None:
         self.stream = stream
         self._queue = ResponseQueue()
@@ -315,13 +330,8 @@
     async def send(
         self, target: str, *, key: str | None = KEY, method: str = "GET", **extra: str
     ) -> str:
-        call_id = f"call-{next(self._numbers)}"
-        lines = [f"{method} {target} HTTP/1.1", "host: shop.example"]
-        lines += [f"x-request-id: {call_id}", "content-length: 0"]
-        if key is not None:
-            lines.append(f"authorization: Bearer {key}")
-        lines += [f"{name.replace('_', '-')}: {value}" for name, value in extra.items()]
-        await self.stream.send("\r\n".join([*lines, "", ""]).encode())
+        call_id, data = encode_call(target, key=key, method=method, **extra)
+        await self.stream.send(data)
         return call_id
 
     async def receive(self) -> Response:
--- a/packages/endivebeam-sidecar/tests/test_planned_stops.py
+++ b/packages/endivebeam-sidecar/tests/test_planned_stops.py
@@ -1,5 +1,11 @@
 """Planned stops of a node: what it finishes, what it rejects and what it logs."""
 
+import asyncio
+import contextlib
+import itertools
+import socket
+from typing import Any
+
 import anyio
 import pytest
 from loguru import logger
@@ -7,12 +13,54 @@
 from endivebeam_fleet import AccountTerms
 from endivebeam_http import Request, Response
 from endivebeam_model import NodeId
-from endivebeam_sidecar import Bounds, read_clock
+from endivebeam_sidecar import Bounds, Sidecar, read_clock
 from endivebeam_wire import HeartbeatEcho, SyncRequest
 
-from ._fleet import ACCOUNT, FakeStore, make_config, run_fleet, wait_until
+from ._fleet import (
+    ACCOUNT,
+    WAIT_S,
+    FakeStore,
+    encode_call,
+    make_config,
+    run_fleet,
+    wait_until,
+)
+from ._steps import pause_after_awaits
 
 pytestmark = pytest.mark.anyio
+# Awaits of a node from the request to stop until it has ended.
+STOP_AWAITS = 12
+# Short enough for a node to take the request as its stop ends.
+DEADLINE_MS = "200"
+
+
+class LateCaller:
+    """A caller that connects, and sends a request without waiting when told to."""
+
+    def __init__(self, port: int) -> None:
+        self._socket = socket.create_connection(("127.0.0.1", port))
+        self._socket.setblocking(False)
+
+    def send(self) -> str:
+        """Send a request that must not run twice; return its id."""
+        call_id, data = encode_call(
+            "/charge/x", method="POST", x_deadline_ms=DEADLINE_MS
+        )
+        # Fails if the node has closed the connection.
+        with contextlib.suppress(OSError):
+            self._socket.send(data)
+        return call_id
+
+    async def receive_status(self) -> int:
+        """Return the status of the response, or 0 if the connection ended without."""
+        loop = asyncio.get_running_loop()
+        try:
+            with anyio.fail_after(WAIT_S):
+                data = await loop.sock_recv(self._socket, 4096)
+        except OSError:
+            data = b""
+        self._socket.close()
+        return int(data[9:12]) if data else 0
 
 
 class TestPlannedStops:
@@ -148,3 +196,62 @@
             logger.remove(sink)
         begin = ("INFO", 0 if answers else 1)
         assert records == [begin, ("INFO", 0) if answers else ("WARNING", 1)]
+
+
+class TestEndOfAPlannedStop:
+    @pytest.mark.parametrize("chosen", range(STOP_AWAITS))
+    async def test_request_between_two_steps_of_the_end_runs_only_if_answered(
+        self, chosen: int, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against requests that ran and were cut as a planned stop ended."""
+        run = Sidecar.run
+        callers: dict[str, LateCaller] = {}
+        begun, release = anyio.Event(), anyio.Event()
+        awaits = itertools.count()
+
+        def step() -> bool:
+            """Send requests after the chosen await; they end after the next one."""
+            if not begun.is_set():
+                return False
+            number = next(awaits)
+            if number == chosen:
+                callers[kept.send()] = kept
+                with contextlib.suppress(ConnectionRefusedError):
+                    late = LateCaller(stopping.sidecar.settings.callers.port)
+                    callers[late.send()] = late
+            elif number > chosen:
+                release.set()
+            return True
+
+        async def run_in_steps(sidecar: Sidecar, **handlers: Any) -> None:
+            work = run(sidecar, **handlers)
+            if sidecar.settings.service == "vans":
+                await pause_after_awaits(work, step)
+                release.set()
+            else:
+                await work
+
+        async def answer(request: Request) -> Response:
+            await release.wait()
+            return other.target.make_response(request)
+
+        async def remove_never(self: FakeStore, *args: Any, **terms: Any) -> None:
+            await anyio.sleep_forever()
+
+        monkeypatch.setattr(Sidecar, "run", run_in_steps)
+        # The node is still announcing its departure when nothing else is left to do.
+        monkeypatch.setattr(FakeStore, "remove_member", remove_never)
+        bounds = Bounds(stop_s=1.6)
+        async with run_fleet(("vans", "stock"), bounds=bounds) as fleet:
+            stopping, other = fleet.nodes
+            # Opens the stream between the nodes and a connection to the target.
+            assert (await stopping.call("/charge/x", method="POST")).status == 200
+            other.target.received.clear()
+            other.target.behavior = answer
+            kept = LateCaller(stopping.sidecar.settings.callers.port)
+            begun.set()
+            stopping.stop.set()
+            await release.wait()
+            answered = {i for i, c in callers.items() if await c.receive_status()}
+            ran = {r.get(b"x-request-id") for r in other.target.received}
+            assert ran <= {call_id.encode() for call_id in answered}
