Tell an empty set of client accounts from a configuration without one

Cause: the parser gave a missing field `tenants` and an empty list the same value, an empty tuple, and the call path read that as leave for everybody. The same value went through the encoding between nodes.

The parser is not the only place: a node that never sees the document had open routes too.

Why it works: `FleetConfig.account_use` tells whether accounts are required, and they are unless the document has no `tenants`. Between nodes of unlike versions: an empty set goes out with one account without keys in it, which nodes of the earlier version understand; what they send without accounts doesn't say which of the two it is and is not accepted.

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/__init__.py
@@ -18,16 +18,15 @@
 from ._call_rates import CallRateEstimator
 from ._config import (
     AccountTerms,
+    AccountUse,
     ConfigIndex,
     Destination,
     FleetConfig,
     RequestLimits,
     RouteRule,
-    UnreadableConfigError,
-    decode_config,
     digest_key,
-    encode_config,
 )
+from ._config_codec import UnreadableConfigError, decode_config, encode_config
 from ._directory import Directory, record_version
 from ._freshness import Freshness
 from ._pressure import (
@@ -60,6 +59,7 @@
     "JITTER",
     "LEASE_S",
     "AccountTerms",
+    "AccountUse",
     "AdmissionQueue",
     "AllowanceHolder",
     "AllowanceRequester",
--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_config.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_config.py
@@ -1,12 +1,11 @@
-"""The fleet configuration, its encoding and the lookups that a call needs."""
+"""The fleet configuration and the lookups that a call needs."""
 
-import zlib
+from enum import Enum
 from hashlib import sha256
 
 import msgspec
 
 from endivebeam_model import (
-    DECODE_ERRORS,
     AccountId,
     ConfigVersion,
     KeyDigest,
@@ -14,13 +13,6 @@
     ServiceName,
 )
 
-# Maximum uncompressed size of a configuration that a node accepts from another one.
-MAX_CONFIG_BYTES = 16 << 20
-# The fastest level already saves most of the bytes.
-COMPRESSION_LEVEL = 1
-
-_encoder = msgspec.msgpack.Encoder()
-
 
 class Destination(msgspec.Struct, frozen=True, array_like=True):
     """A service that receives a fraction of a route's requests."""
@@ -72,39 +64,27 @@
     idle_timeout_s: float = 120.0
 
 
-class FleetConfig(msgspec.Struct, frozen=True, kw_only=True):
-    """One version of the configuration, as operators defined it."""
-
-    version: ConfigVersion
-    routes: tuple[RouteRule, ...] = ()
-    accounts: tuple[AccountTerms, ...] = ()
-    limits: RequestLimits = RequestLimits()
-
-
-class UnreadableConfigError(Exception):
-    """Bytes received from another node are not a valid configuration."""
+class AccountUse(Enum):
+    """Whether requests on routes that aren't open to all need a client account.
 
+    ``REQUIRED`` holds for an empty set of accounts too: no request is admitted then.
+    """
 
-def encode_config(config: FleetConfig) -> bytes:
-    """Return the compressed encoding in which nodes transfer a configuration."""
-    return zlib.compress(_encoder.encode(config), COMPRESSION_LEVEL)
+    REQUIRED = "required"
+    NOT_REQUIRED = "not_required"
 
 
-def decode_config(data: bytes) -> FleetConfig:
-    """Return the configuration that another node encoded.
+class FleetConfig(msgspec.Struct, frozen=True, kw_only=True):
+    """One version of the configuration, as operators defined it.
 
-    Raises ``UnreadableConfigError`` for invalid, truncated or oversized data.
+    There are no ``accounts`` if they are not required.
     """
-    decompressor = zlib.decompressobj()
-    try:
-        plain = decompressor.decompress(data, MAX_CONFIG_BYTES)
-        if not decompressor.eof:
-            raise UnreadableConfigError(
-                "configuration is truncated or exceeds the size limit"
-            )
-        return msgspec.msgpack.decode(plain, type=FleetConfig)
-    except (zlib.error, *DECODE_ERRORS) as error:
-        raise UnreadableConfigError(str(error)) from error
+
+    version: ConfigVersion
+    routes: tuple[RouteRule, ...] = ()
+    account_use: AccountUse = AccountUse.REQUIRED
+    accounts: tuple[AccountTerms, ...] = ()
+    limits: RequestLimits = RequestLimits()
 
 
 def digest_key(key: str) -> KeyDigest:
--- a/packages/endivebeam-fleet/tests/test_config.py
+++ b/packages/endivebeam-fleet/tests/test_config.py
@@ -1,14 +1,21 @@
 """Tests of configuration lookups, its encoding and weighted route selection."""
 
+import zlib
+
+import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from endivebeam_fleet import (
     AccountTerms,
+    AccountUse,
     ConfigIndex,
     Destination,
     FleetConfig,
+    RequestLimits,
     RouteRule,
+    UnreadableConfigError,
     WeightedSelector,
     decode_config,
     digest_key,
@@ -69,9 +76,52 @@
         assert index.find_account("k2") is terms
         assert index.find_account("k3") is None
 
-    def test_decodes_what_another_node_encoded(self):
-        config = FleetConfig(version=ConfigVersion(7), routes=(make_route("/a/"),))
-        assert decode_config(encode_config(config)) == config
+
+class EarlierConfig(msgspec.Struct, frozen=True, kw_only=True):
+    """A configuration as nodes of an earlier version send and receive it."""
+
+    version: int
+    routes: tuple[RouteRule, ...] = ()
+    accounts: tuple[AccountTerms, ...] = ()
+    limits: RequestLimits = RequestLimits()
+
+
+FIT = AccountTerms(account=AccountId("fit"), key_digests=(digest_key("k1"),))
+NOT_REQUIRED = FleetConfig(
+    version=ConfigVersion(7), account_use=AccountUse.NOT_REQUIRED
+)
+EMPTY_SET = FleetConfig(version=ConfigVersion(7))
+ONE_ACCOUNT = FleetConfig(version=ConfigVersion(7), accounts=(FIT,))
+
+
+class TestTransfer:
+    @pytest.mark.parametrize("config", [NOT_REQUIRED, EMPTY_SET, ONE_ACCOUNT])
+    def test_decodes_what_another_node_encoded(self, config: FleetConfig):
+        with_route = msgspec.structs.replace(config, routes=(make_route("/a/"),))
+        assert decode_config(encode_config(with_route)) == with_route
+
+    @pytest.mark.parametrize(
+        ("config", "is_open"),
+        [(NOT_REQUIRED, True), (EMPTY_SET, False), (ONE_ACCOUNT, False)],
+    )
+    def test_earlier_node_opens_routes_only_if_no_account_is_required(
+        self, config: FleetConfig, is_open: bool
+    ):
+        """Guards against nodes that take an empty set of accounts as leave for all."""
+        plain = zlib.decompress(encode_config(config))
+        received = msgspec.msgpack.decode(plain, type=EarlierConfig)
+        assert (not received.accounts) is is_open
+
+    def test_earlier_node_must_list_accounts_to_be_understood(self):
+        """Guards against an empty set that an earlier node passes on as no set."""
+
+        def encode(config: EarlierConfig) -> bytes:
+            return zlib.compress(msgspec.msgpack.encode(config))
+
+        received = decode_config(encode(EarlierConfig(version=7, accounts=(FIT,))))
+        assert received == ONE_ACCOUNT
+        with pytest.raises(UnreadableConfigError):
+            decode_config(encode(EarlierConfig(version=7)))
 
 
 class TestWeightedSelector:
--- a/packages/endivebeam-fleet/tests/test_transfers.py
+++ b/packages/endivebeam-fleet/tests/test_transfers.py
@@ -12,7 +12,7 @@
     UnreadableConfigError,
     decode_config,
 )
-from endivebeam_fleet import _config as config_module
+from endivebeam_fleet import _config_codec as config_codec
 from endivebeam_fleet._transfers import IDLE_TIMEOUT_S, MAX_ENCODED_BYTES, MAX_TRANSFERS
 from endivebeam_model import ConfigVersion, NodeId
 
@@ -117,6 +117,6 @@
     def test_oversized_decompressed_data_is_rejected(
         self, monkeypatch: pytest.MonkeyPatch
     ):
-        monkeypatch.setattr(config_module, "MAX_CONFIG_BYTES", 1000)
+        monkeypatch.setattr(config_codec, "MAX_CONFIG_BYTES", 1000)
         with pytest.raises(UnreadableConfigError):
             decode_config(zlib.compress(bytes(1 << 20)))
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -8,6 +8,7 @@
 
 from endivebeam_fleet import (
     AccountTerms,
+    AccountUse,
     ConfigIndex,
     RouteRule,
     WeightedSelector,
@@ -176,7 +177,8 @@
     def _find_account(
         self, index: ConfigIndex, route: RouteRule, request: Request
     ) -> AccountTerms | Refusal | None:
-        if route.open_to_all or not index.config.accounts:
+        accounts_required = index.config.account_use is AccountUse.REQUIRED
+        if route.open_to_all or not accounts_required:
             return None
         age_s = self._fleet.freshness.age_s(read_clock())
         if age_s > self._key_trust_s:
--- a/packages/endivebeam-sidecar/tests/_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import anyio
 import anyio.abc
@@ -85,7 +85,7 @@
 def make_config(
     version: int = 1,
     accounts: tuple[AccountTerms, ...] = (ACCOUNT,),
-    **terms: object,
+    **terms: Any,
 ) -> FleetConfig:
     return FleetConfig(
         version=ConfigVersion(version),
--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -340,6 +340,24 @@
                 await wait_until(lambda node=node: node.sidecar.config_version == 3)
                 assert (await node.call("/look/x")).status == 401
 
+    @pytest.mark.parametrize("restarts", [False, True])
+    async def test_no_key_works_once_the_last_account_is_removed(self, restarts: bool):
+        """Guards against routes that are open to everybody without the last account.
+
+        One node gets the version from the other one, not from the store.
+        """
+        async with run_fleet() as fleet:
+            fleet.store.cut_off.add(fleet.nodes[1].sidecar.settings.node_id)
+            fleet.store.put_config(make_config(2, accounts=()))
+            if restarts:
+                await fleet.restart(1)
+            for node in fleet.nodes:
+                await wait_until(lambda node=node: node.sidecar.config_version == 2)
+                await wait_until(lambda node=node: node.sidecar.is_ready)
+                for key in (KEY, "key-of-nobody", None):
+                    assert (await node.call("/look/x", key=key)).status == 401
+                assert (await node.call("/open/x", key=None)).status == 200
+
     async def test_older_version_does_not_replace_a_newer_one(self):
         async with run_fleet(("stock",)) as fleet:
             fleet.store.put_config(make_config(5))
--- a/packages/endivebeam-sidecar/tests/test_planned_stops.py
+++ b/packages/endivebeam-sidecar/tests/test_planned_stops.py
@@ -10,7 +10,7 @@
 import pytest
 from loguru import logger
 
-from endivebeam_fleet import AccountTerms
+from endivebeam_fleet import AccountUse
 from endivebeam_http import Request, Response
 from endivebeam_model import NodeId
 from endivebeam_sidecar import Bounds, Sidecar, read_clock
@@ -101,13 +101,14 @@
             assert response.get(b"connection") == b"close"
 
     @pytest.mark.parametrize("path", ["/charge/x", "/look/x", "/open/x"])
-    @pytest.mark.parametrize("accounts", [(ACCOUNT,), ()], ids=["accounts", "none"])
+    @pytest.mark.parametrize("account_use", AccountUse)
     async def test_request_late_in_a_stop_is_rejected_and_not_cut_off(
-        self, path: str, accounts: tuple[AccountTerms, ...]
+        self, path: str, account_use: AccountUse
     ):
         """Guards against a request that is passed on and gets no answer."""
         store = FakeStore()
-        store.config = make_config(accounts=accounts)
+        accounts = (ACCOUNT,) if account_use is AccountUse.REQUIRED else ()
+        store.config = make_config(accounts=accounts, account_use=account_use)
         # 1.2 s are left then: more than the objective, less than the timeout.
         bounds = Bounds(stop_s=3.4)
         async with run_fleet(("vans", "stock"), store=store, bounds=bounds) as fleet:
--- a/tests/thistlegate/test_translation.py
+++ b/tests/thistlegate/test_translation.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from endivebeam_fleet import ConfigIndex, TargetPhase
+from endivebeam_fleet import AccountUse, ConfigIndex, TargetPhase
 from endivebeam_model import Semantics
 from thistlegate import (
     AnnouncementFormatError,
@@ -103,12 +103,32 @@
         config = read_config_document(encode(document))
         assert "k1" not in repr(config.accounts[0].key_digests)
 
+    @pytest.mark.parametrize(
+        ("change", "account_use", "count"),
+        [
+            ({}, AccountUse.REQUIRED, 1),
+            ({"tenants": []}, AccountUse.REQUIRED, 0),
+            ({"tenants": msgspec.UNSET}, AccountUse.NOT_REQUIRED, 0),
+        ],
+        ids=["accounts", "empty set", "no set"],
+    )
+    def test_accounts_are_required_unless_the_document_has_no_set_of_them(
+        self, document: Document, change: Document, account_use: AccountUse, count: int
+    ):
+        """Guards against an empty set of accounts that is read as leave for all."""
+        fields = {**document, **change}
+        present = {k: v for k, v in fields.items() if v is not msgspec.UNSET}
+        config = read_config_document(encode(present))
+        assert (config.account_use, len(config.accounts)) == (account_use, count)
+
     @pytest.mark.parametrize("body", [b"{", b"\xff\x00", b'{"virtualHosts": []}'])
     def test_malformed_documents_raise(self, body: bytes):
         with pytest.raises(ConfigFormatError):
             read_config_document(body)
 
-    @pytest.mark.parametrize("change", [{"version": "xyz"}, {"virtualHosts": 3}])
+    @pytest.mark.parametrize(
+        "change", [{"version": "xyz"}, {"virtualHosts": 3}, {"tenants": None}]
+    )
     def test_values_of_other_types_raise(self, document: Document, change: Document):
         with pytest.raises(ConfigFormatError):
             read_config_document(encode({**document, **change}))
