Keep callers that read slowly; bound what is held for them

Cause: TCP_USER_TIMEOUT, 5 s, on the connections of callers too. The kernel counts with it the time for which the window of a peer stays closed, although the peer answers each probe.

Ruled out: the limit on sending of 20 s and the idle timeout, which are longer than the pause.

Why it works: `LossDetection` tells the kinds of peers apart. A caller is gone when it answers no keep-alive probe; an idle one was never noticed before.

The connection has a module of its own now, apart from the server.

--- a/packages/endivebeam-http/src/endivebeam_http/__init__.py
+++ b/packages/endivebeam-http/src/endivebeam_http/__init__.py
@@ -6,6 +6,7 @@
 
 from ._client import ClientPool, NotSentError, encode_request
 from ._listeners import MAX_CONNECTIONS, HttpServer, SocketListener
+from ._loss_detection import LossDetection
 from ._messages import (
     HOP_BY_HOP,
     MAX_BODY_BYTES,
@@ -19,12 +20,8 @@
     strip_hop_by_hop,
 )
 from ._parsers import RequestParser
-from ._pipeline import (
-    Exchange,
-    ExchangeHandler,
-    PipelinedServer,
-    ServerLimits,
-)
+from ._pipeline import PipelinedServer
+from ._pipelined_connection import Exchange, ExchangeHandler, ServerLimits
 from ._process_signals import receive_signals
 from ._responses import ResponseQueue
 from ._server import Handler, ServerConnection, encode_response, plain_error_response
@@ -50,6 +47,7 @@
     "Handler",
     "HttpError",
     "HttpServer",
+    "LossDetection",
     "MismatchedResponseError",
     "NotSentError",
     "PipelinedServer",
--- a/packages/endivebeam-http/src/endivebeam_http/_transport.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_transport.py
@@ -17,13 +17,11 @@
 import anyio.abc
 from anyio.abc import SocketAttribute
 
+from ._loss_detection import LossDetection, set_loss_detection
+
 # Bytes that are read ahead before reading is paused.
 MAX_BUFFERED_BYTES = 256 << 10
 LISTEN_BACKLOG = 1024
-# Time without acknowledgement after which the kernel aborts a connection, so that
-# writes to a machine that lost power do not hang.
-TCP_USER_TIMEOUT_MS = 5000
-
 
 OnData = Callable[[bytes], None]
 """Receives bytes in the event loop iteration in which they arrived."""
@@ -39,7 +37,13 @@
     of ``consume``.
     """
 
-    def __init__(self, on_open: Callable[["TcpStream"], object] | None) -> None:
+    def __init__(
+        self,
+        *,
+        loss_detection: LossDetection,
+        on_open: Callable[["TcpStream"], object] | None = None,
+    ) -> None:
+        self._loss_detection = loss_detection
         self._on_open = on_open
         self._on_data: OnData | None = None
         self._on_end: OnEnd | None = None
@@ -56,7 +60,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Transports of other event loops do not derive from asyncio.Transport.
         self.transport = cast(asyncio.Transport, transport)
-        _set_options(transport.get_extra_info("socket"))
+        raw = transport.get_extra_info("socket")
+        _set_options(raw, self._loss_detection)
         if self._on_open is not None:
             self._on_open(TcpStream(protocol=self))
 
@@ -132,6 +137,11 @@
         """Whether the connection is closed or the peer closed its sending side."""
         return self._protocol.ended or self._closed
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the connection has ended in both directions."""
+        return self._protocol.is_lost
+
     def consume(self, on_data: OnData, on_end: OnEnd) -> None:
         """Pass received bytes and the end to callbacks, in place of ``receive``."""
         self._protocol.consume(on_data, on_end)
@@ -241,9 +251,10 @@
 class TcpListener(anyio.abc.Listener[TcpStream]):
     """Accepts connections on one address."""
 
-    def __init__(self, *, host: str, port: int) -> None:
+    def __init__(self, *, host: str, port: int, loss_detection: LossDetection) -> None:
         self._host = host
         self._port = port
+        self._loss_detection = loss_detection
         self._server: asyncio.Server | None = None
         self._pending: list[TcpStream] = []
         self._on_accept: Callable[[TcpStream], object] = self._queue_stream
@@ -261,7 +272,10 @@
         """Bind the address; raises ``OSError`` if it is in use."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Protocol(lambda stream: self._on_accept(stream)),
+            lambda: _Protocol(
+                loss_detection=self._loss_detection,
+                on_open=lambda stream: self._on_accept(stream),
+            ),
             self._host,
             self._port,
             backlog=LISTEN_BACKLOG,
@@ -308,16 +322,23 @@
     """Open a connection to an IP address; raises ``OSError`` on failure."""
     loop = asyncio.get_running_loop()
     try:
-        _, protocol = await loop.create_connection(lambda: _Protocol(None), host, port)
+        _, protocol = await loop.create_connection(
+            lambda: _Protocol(loss_detection=LossDetection.UNTAKEN_DATA), host, port
+        )
     except (OverflowError, ValueError) as error:
         # Addresses come from other machines; some that are malformed raise these.
         raise OSError(f"not an address: {host!r}, port {port}") from error
     return TcpStream(protocol=protocol)
 
 
-async def listen_tcp(host: str, port: int) -> TcpListener:
+async def listen_tcp(
+    host: str,
+    port: int,
+    *,
+    loss_detection: LossDetection = LossDetection.UNTAKEN_DATA,
+) -> TcpListener:
     """Return a bound listener; raises ``OSError`` if the address is in use."""
-    listener = TcpListener(host=host, port=port)
+    listener = TcpListener(host=host, port=port, loss_detection=loss_detection)
     await listener.open()
     return listener
 
@@ -333,6 +354,6 @@
     return None
 
 
-def _set_options(raw: socket.socket) -> None:
+def _set_options(raw: socket.socket, detection: LossDetection) -> None:
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    set_loss_detection(raw, detection)
--- a/packages/endivebeam-http/tests/test_pipeline.py
+++ b/packages/endivebeam-http/tests/test_pipeline.py
@@ -12,6 +12,7 @@
 from endivebeam_http import (
     Exchange,
     ExchangeHandler,
+    LossDetection,
     PipelinedServer,
     Response,
     ResponseQueue,
@@ -20,7 +21,9 @@
     listen_tcp,
     plain_error_response,
 )
+from endivebeam_http import _loss_detection as loss_detection
 from endivebeam_http import _pipeline as pipeline
+from endivebeam_http import _pipelined_connection as pipelined_connection
 
 pytestmark = pytest.mark.anyio
 TEST_TIMEOUT_S = 20.0
@@ -46,7 +49,9 @@
         error_response=plain_error_response,
         limits=limits or ServerLimits(),
     )
-    listener = await listen_tcp("127.0.0.1", 0)
+    listener = await listen_tcp(
+        "127.0.0.1", 0, loss_detection=LossDetection.UNANSWERED_PROBES
+    )
     with anyio.fail_after(TEST_TIMEOUT_S):
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.serve, listener)
@@ -121,7 +126,7 @@
     async def test_requests_above_the_limit_are_handled_later(
         self, monkeypatch: pytest.MonkeyPatch
     ):
-        monkeypatch.setattr(pipeline, "MAX_OPEN_EXCHANGES", 2)
+        monkeypatch.setattr(pipelined_connection, "MAX_OPEN_EXCHANGES", 2)
         async with serve(echo) as running, await running.connect() as stream:
             await stream.send(b"".join(encode(f"/{n}") for n in range(9)))
             responses = await receive(stream, 9)
@@ -157,7 +162,50 @@
             assert (bad.status, good.status) == (502, 200)
 
 
+class PausingCaller:
+    """A caller with a small receive window, which reads only when told to."""
+
+    def __init__(self, port: int) -> None:
+        self.raw = socket.socket()
+        self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+        self.raw.connect(("127.0.0.1", port))
+
+    async def read(self, size: int) -> bytes:
+        """Return the next bytes, fewer than ``size`` at the end of the connection."""
+        self.raw.setblocking(False)
+        loop = asyncio.get_running_loop()
+        received = b""
+        while len(received) < size:
+            try:
+                part = await loop.sock_recv(self.raw, size - len(received))
+            except ConnectionResetError:
+                break
+            if not part:
+                break
+            received += part
+        return received
+
+
 class TestSlowReaders:
+    async def test_caller_that_pauses_gets_its_responses(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against a pause of a living caller that is taken for its loss."""
+        monkeypatch.setattr(loss_detection, "TCP_USER_TIMEOUT_MS", 300)
+        body = bytes(36_000)
+
+        async def handle(exchange: Exchange) -> Response:
+            return Response(status=200, body=body)
+
+        async with serve(handle) as running:
+            caller = PausingCaller(running.port)
+            caller.raw.sendall(encode("/a") + encode("/b"))
+            await anyio.sleep(4 * 0.3)
+            received = await caller.read(2 * len(body))
+            caller.raw.close()
+        assert len(received) == 2 * len(body)
+
     async def test_responses_are_sent_as_the_caller_reads(self):
         body = bytes(8 << 20)
 
@@ -175,6 +223,75 @@
                 received += len(raw.recv(1 << 20))
             raw.close()
 
+    async def test_slow_caller_is_not_cut_off_while_it_reads(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against a limit on the time of a response in place of a standstill."""
+        monkeypatch.setattr(pipelined_connection, "SEND_TIMEOUT_S", 0.5)
+        monkeypatch.setattr(pipeline, "SWEEP_PERIOD_S", 0.02)
+        body = bytes(24 << 20)
+
+        async def handle(exchange: Exchange) -> Response:
+            return Response(status=200, body=body)
+
+        async with serve(handle) as running:
+            caller = PausingCaller(running.port)
+            caller.raw.sendall(encode("/a"))
+            received = 0
+            for _ in range(12):
+                await anyio.sleep(0.1)
+                received += len(await caller.read(2 << 20))
+            caller.raw.close()
+        assert received == len(body)
+
+    async def test_caller_that_takes_nothing_is_cut_off_also_after_the_last_response(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against responses that are held for ever for callers that are gone."""
+        monkeypatch.setattr(pipelined_connection, "SEND_TIMEOUT_S", 0.2)
+        monkeypatch.setattr(pipelined_connection, "LINGER_TIMEOUT_S", 0.1)
+        monkeypatch.setattr(pipeline, "SWEEP_PERIOD_S", 0.02)
+        body = bytes(12 << 20)
+
+        async def handle(exchange: Exchange) -> Response:
+            return Response(status=200, body=body)
+
+        async with serve(handle) as running:
+            keeping, closing = (PausingCaller(running.port) for _ in range(2))
+            keeping.raw.sendall(encode("/a"))
+            closing.raw.sendall(encode("/a", extra="connection: close\r\n"))
+            while running.server.held_bytes < 16 << 20:
+                await anyio.lowlevel.checkpoint()
+            while len(running.server):
+                await anyio.lowlevel.checkpoint()
+            for caller in (keeping, closing):
+                assert len(await caller.read(len(body))) < len(body)
+
+    async def test_callers_that_never_read_are_dropped_and_others_served(self):
+        """Guards against a node that runs out of memory for callers that never read."""
+        limit = 8 << 20
+        most = 0
+
+        async def handle(exchange: Exchange) -> Response:
+            nonlocal most
+            most = max(most, running.server.held_bytes)
+            return Response(status=200, body=bytes(1 << 20))
+
+        async with serve(handle, ServerLimits(max_held_bytes=limit)) as running:
+            callers = []
+            for number in range(30):
+                callers.append(PausingCaller(running.port))
+                callers[-1].raw.sendall(encode("/a") * 8)
+                stream = await running.connect()
+                await stream.send(encode(f"/{number}"))
+                (response,) = await receive(stream, 1)
+                assert len(response.body) == 1 << 20
+                await stream.aclose()
+            assert most <= limit * (1 + pipeline.HELD_CHECK_FRACTION) + (1 << 20)
+            assert len(running.server) < 30
+            for caller in callers:
+                caller.raw.close()
+
 
 class TestEnd:
     async def test_no_connection_is_accepted_while_handlers_end(self):
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -13,6 +13,7 @@
 from endivebeam_http import (
     Exchange,
     ExchangeHandler,
+    LossDetection,
     PipelinedServer,
     Response,
     ServerLimits,
@@ -241,7 +242,11 @@
         settings = self.settings
         control = ServerLimits(max_connections=MAX_CONTROL_CONNECTIONS)
         tasks.start_soon(self._links.run, await _listen(settings.peers))
-        tasks.start_soon(self._caller_server.serve, await _listen(settings.callers))
+        # Callers may read slowly.
+        callers = await _listen(
+            settings.callers, loss_detection=LossDetection.UNANSWERED_PROBES
+        )
+        tasks.start_soon(self._caller_server.serve, callers)
         for address, handler in (
             (settings.announcements, announcements),
             (settings.readiness, self.check_readiness),
@@ -369,5 +374,7 @@
                 )
 
 
-async def _listen(address: Address) -> TcpListener:
-    return await listen_tcp(address.host, address.port)
+async def _listen(
+    address: Address, *, loss_detection: LossDetection = LossDetection.UNTAKEN_DATA
+) -> TcpListener:
+    return await listen_tcp(address.host, address.port, loss_detection=loss_detection)
