--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -49,8 +49,13 @@
 
     @property
     def busy_connections(self) -> int:
-        """Number of connections with a request in progress."""
-        return sum(1 for c in self._connections if not c.is_idle)
+        """Number of connections with a request in progress or a response to send."""
+        return sum(1 for c in self._connections if c.is_busy)
+
+    @property
+    def has_lingering_connections(self) -> bool:
+        """Whether callers still have to close connections after their last response."""
+        return any(c.is_lingering for c in self._connections)
 
     @property
     def held_bytes(self) -> int:
--- a/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
@@ -142,6 +142,18 @@
         """Whether no request is being received or handled."""
         return not self._open and not self._parser.started
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress or a response is not sent whole."""
+        if self._stream.unsent_bytes:
+            return True
+        return self._phase is not _Phase.CLOSED and not self.is_idle
+
+    @property
+    def is_lingering(self) -> bool:
+        """Whether the caller still has to close the connection."""
+        return self._phase is _Phase.LINGERING
+
     @property
     def held_bytes(self) -> int:
         """Bytes of responses that the caller has not taken."""
--- a/packages/endivebeam-http/tests/test_pipeline.py
+++ b/packages/endivebeam-http/tests/test_pipeline.py
@@ -401,3 +401,25 @@
                     received = b""
             assert received == b""
             assert handled == []
+
+    async def test_server_is_busy_until_the_last_byte_of_a_response_is_sent(self):
+        """Guards against the end of a response that a planned stop cuts off."""
+        body = bytes(12 << 20)
+
+        async def handle(exchange: Exchange) -> Response:
+            return Response(status=200, body=body)
+
+        async with serve(handle) as running:
+            callers = [PausingCaller(running.port) for _ in range(2)]
+            for caller in callers:
+                caller.raw.sendall(encode("/a"))
+            while running.server.held_bytes < len(body):
+                await anyio.lowlevel.checkpoint()
+            assert running.server.busy_connections == 2
+            running.server.end_intake()
+            assert running.server.busy_connections == 2
+            for caller in callers:
+                # The header comes on top.
+                assert len(await caller.read(len(body) + 1)) > len(body)
+            while running.server.busy_connections:
+                await anyio.lowlevel.checkpoint()
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -287,7 +287,7 @@
             await anyio.sleep(STOP_POLL_S)
         self._caller_server.end_intake()
         with anyio.move_on_after(LAST_RESPONSES_S):
-            while not self._is_idle:
+            while not self._is_idle or self._caller_server.has_lingering_connections:
                 await anyio.sleep(STOP_POLL_S)
 
     @property
