Wait for replies to other nodes in a planned stop

What callers would see: a booking that ran at the target of a stopping node, answered 502 or 504 by the node at which it began, since the reply was cut off.

Cause: the stop looked at the calls at the target only. A call is over there one or two turns of the event loop before its reply is handed to the stream, and large replies wait on the stream's buffer after that.

Two tests hold the node at each of the two moments; both fail before, on both event loops: the node had ended.

Why it works: a call of another node is in progress until its reply is returned, in the step in which it is sent, and bytes that wait on streams keep the node from ending.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -292,8 +292,13 @@
 
     @property
     def _is_idle(self) -> bool:
-        """Whether no request of a caller and no call to the target is in progress."""
-        return not self._target.in_flight and not self._caller_server.busy_connections
+        """Whether no request is in progress and no answer is left to be sent."""
+        return not (
+            self._target.in_flight
+            or self._peer_calls.in_progress
+            or self._links.unsent_bytes
+            or self._caller_server.busy_connections
+        )
 
     def _log_stop_end(self) -> None:
         """Log the end of a planned stop, as a warning if it cuts requests."""
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
@@ -82,6 +82,12 @@
                     stream.close()
                 await self._tasks.close()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that wait on all streams to be sent."""
+        streams = {*self._streams.values(), *self._accepted}
+        return sum(stream.unsent_bytes for stream in streams)
+
     async def send_request(
         self,
         member: Member,
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_peer_calls.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_peer_calls.py
@@ -1,5 +1,7 @@
 """Calls that other nodes send to the target of this one."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from functools import partial
 
 from loguru import logger
@@ -17,9 +19,31 @@
     def __init__(self, *, target: LocalTarget, kept_replies: KeptReplies) -> None:
         self._target = target
         self._kept_replies = kept_replies
+        self.in_progress = 0
 
     async def run(self, call: ForwardRequest) -> ForwardReply:
-        """Run a call; an unexpected error fails only this call."""
+        """Run a call; an unexpected error fails only this call.
+
+        It is in progress until its reply is returned, which is later than its end at
+        the target.
+        """
+        with self._count():
+            return await self._run(call)
+
+    async def find_outcome(self, query: OutcomeQuery) -> ForwardReply:
+        """Return the outcome of an at-most-once call once it has ended."""
+        with self._count():
+            return await self._kept_replies.answer(query, self._target.load)
+
+    @contextmanager
+    def _count(self) -> Iterator[None]:
+        self.in_progress += 1
+        try:
+            yield
+        finally:
+            self.in_progress -= 1
+
+    async def _run(self, call: ForwardRequest) -> ForwardReply:
         if not self._kept_replies.begin(call):
             return make_rejection(
                 call,
@@ -32,10 +56,6 @@
         self._kept_replies.end(call, reply)
         return reply
 
-    async def find_outcome(self, query: OutcomeQuery) -> ForwardReply:
-        """Return the outcome of an at-most-once call once it has ended."""
-        return await self._kept_replies.answer(query, self._target.load)
-
     async def _run_safely(self, call: ForwardRequest) -> ForwardReply:
         try:
             return await self._target.run(call, partial(self._kept_replies.end, call))
--- a/packages/endivebeam-sidecar/tests/_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_fleet.py
@@ -262,6 +262,7 @@
     target: FakeTarget
     stop: anyio.Event = field(default_factory=anyio.Event)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    ended: anyio.Event = field(default_factory=anyio.Event)
     sequence: int = 0
 
     def kill(self) -> None:
@@ -274,6 +275,7 @@
 
         with self.scope:
             await self.sidecar.run(announcements=reject, wait_for_stop=self.stop.wait)
+        self.ended.set()
 
     def announce(self, phase: TargetPhase = TargetPhase.READY) -> None:
         self.sequence += 1
--- a/packages/endivebeam-sidecar/tests/test_planned_stops.py
+++ b/packages/endivebeam-sidecar/tests/test_planned_stops.py
@@ -14,12 +14,15 @@
 from endivebeam_http import Request, Response
 from endivebeam_model import NodeId
 from endivebeam_sidecar import Bounds, Sidecar, read_clock
+from endivebeam_sidecar._links import Links
+from endivebeam_sidecar._target import LocalTarget
 from endivebeam_wire import HeartbeatEcho, SyncRequest
 
 from ._fleet import (
     ACCOUNT,
     WAIT_S,
     FakeStore,
+    Node,
     encode_call,
     make_config,
     run_fleet,
@@ -34,6 +37,16 @@
 DEADLINE_MS = "200"
 
 
+async def stop_and_outwait_an_idle_node(node: Node) -> None:
+    """Stop a node and wait until it would have ended without anything to do.
+
+    Its bound for a planned stop is 3 s.
+    """
+    node.stop.set()
+    late_at = read_clock() + 1.2
+    await wait_until(lambda: read_clock() > late_at)
+
+
 class LateCaller:
     """A caller that connects, and sends a request without waiting when told to."""
 
@@ -256,3 +269,40 @@
             answered = {i for i, c in callers.items() if await c.receive_status()}
             ran = {r.get(b"x-request-id") for r in other.target.received}
             assert ran <= {call_id.encode() for call_id in answered}
+
+    async def test_reply_to_another_node_is_sent_before_the_end(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against a reply that is lost between its target and its stream."""
+        async with run_fleet(("vans", "stock"), bounds=Bounds(stop_s=3.0)) as fleet:
+            entry, stopping = fleet.nodes
+            release = anyio.Event()
+
+            async def answer(request: Request) -> Response:
+                await release.wait()
+                return stopping.target.make_response(request)
+
+            stopping.target.behavior = answer
+            async with entry.connect() as connection:
+                await connection.send("/charge/x", method="POST")
+                await wait_until(lambda: len(stopping.target.received) == 1)
+                # As if the target had answered and the reply were on its way.
+                monkeypatch.setattr(LocalTarget, "in_flight", 0)
+                await stop_and_outwait_an_idle_node(stopping)
+                assert not stopping.ended.is_set()
+                monkeypatch.undo()
+                release.set()
+                assert (await connection.receive()).status == 200
+            await wait_until(stopping.ended.is_set)
+
+    async def test_bytes_that_wait_on_a_stream_are_sent_before_the_end(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against the end of a reply to another node that is cut off."""
+        async with run_fleet(("stock",), bounds=Bounds(stop_s=3.0)) as fleet:
+            stopping = fleet.nodes[0]
+            monkeypatch.setattr(Links, "unsent_bytes", 1)
+            await stop_and_outwait_an_idle_node(stopping)
+            assert not stopping.ended.is_set()
+            monkeypatch.undo()
+            await wait_until(stopping.ended.is_set)
--- a/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
@@ -111,6 +111,11 @@
         """Whether a request of this side waits for its reply."""
         return len(self._pending_requests) > 0
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the kernel has not accepted yet."""
+        return self._transport.unsent_bytes
+
     def next_id(self) -> int:
         """Return a request id that was not used on this stream before."""
         return self._pending_requests.next_id()
