Let targets read long requests slowly

What callers would see: 502 for a request with a long body whose target read nothing for five seconds, although it read on afterwards.

On a connection to a target it was seen in the new test only: "Connection timed out" after a pause of 1.2 s with the timeout at 0.3 s, on both event loops.

Why it works: for a request longer than one segment the time that the request has left is the limit. Shorter ones need no open window, so that a connection that has fallen silent is noticed as soon as before.

--- a/packages/endivebeam-http/src/endivebeam_http/_target_client.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_target_client.py
@@ -12,12 +12,16 @@
 import anyio
 
 from ._client import NotSentError
+from ._loss_detection import LossDetection
 from ._messages import MAX_BODY_BYTES, ConnectionLostError, HttpError, Response
 from ._responses import ResponseQueue
 from ._transport import TcpStream
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 256
+# A target takes a request of one segment at once if it is there. It may read a longer
+# one slowly, so that its window stays closed; the request's time is the limit then.
+MAX_SEGMENT_BYTES = 1200
 # Keep-alive time of a target that sends no ``Keep-Alive: timeout``.
 DEFAULT_KEEP_ALIVE_S = 5.0
 # A connection is reused only within this fraction of the keep-alive time; the rest
@@ -117,6 +121,10 @@
     def _send(self, data: bytes) -> None:
         if self._ended:
             raise ConnectionLostError("the target closed the connection")
+        is_short = len(data) <= MAX_SEGMENT_BYTES
+        self._stream.detect_loss(
+            LossDetection.UNTAKEN_DATA if is_short else LossDetection.UNANSWERED_PROBES
+        )
         try:
             self._stream.send_now(data)
         except anyio.BrokenResourceError as error:
--- a/packages/endivebeam-http/src/endivebeam_http/_transport.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_transport.py
@@ -43,7 +43,7 @@
         loss_detection: LossDetection,
         on_open: Callable[["TcpStream"], object] | None = None,
     ) -> None:
-        self._loss_detection = loss_detection
+        self.loss_detection = loss_detection
         self._on_open = on_open
         self._on_data: OnData | None = None
         self._on_end: OnEnd | None = None
@@ -61,7 +61,7 @@
         # Transports of other event loops do not derive from asyncio.Transport.
         self.transport = cast(asyncio.Transport, transport)
         raw = transport.get_extra_info("socket")
-        _set_options(raw, self._loss_detection)
+        _set_options(raw, self.loss_detection)
         if self._on_open is not None:
             self._on_open(TcpStream(protocol=self))
 
@@ -214,6 +214,12 @@
         """Number of bytes in the write buffer, not yet accepted by the kernel."""
         return self._transport.get_write_buffer_size()
 
+    def detect_loss(self, detection: LossDetection) -> None:
+        """Change how the kernel finds out that the peer is gone."""
+        if detection is not self._protocol.loss_detection and not self.has_ended:
+            self._protocol.loss_detection = detection
+            set_loss_detection(self._transport.get_extra_info("socket"), detection)
+
     async def send_eof(self) -> None:
         """Close the sending side of the connection."""
         self.end_sending()
--- a/packages/endivebeam-http/tests/test_target_client.py
+++ b/packages/endivebeam-http/tests/test_target_client.py
@@ -17,6 +17,7 @@
     TargetPool,
     connect_stream,
 )
+from endivebeam_http import _loss_detection as loss_detection
 
 pytestmark = pytest.mark.anyio
 # More than the kernel buffers for one connection.
@@ -228,6 +229,52 @@
 
 
 class TestLargeBodies:
+    async def test_target_that_pauses_while_it_reads_gets_the_body(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against a slow reader that is taken for a target that is gone."""
+        monkeypatch.setattr(loss_detection, "TCP_USER_TIMEOUT_MS", 300)
+        listener = socket.socket()
+        # Accepted connections inherit the size of the window.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        port = listener.getsockname()[1]
+        pool = TargetPool(connect=lambda: connect_stream("127.0.0.1", port))
+        connection = await pool.acquire(at_most_once=False)
+        peer, _ = listener.accept()
+        peer.settimeout(5)
+        body = bytes(200_000)
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % len(body)
+
+        def read_and_respond() -> None:
+            received = 0
+            while received < len(head) + len(body):
+                received += len(peer.recv(1 << 16))
+            peer.sendall(make_response())
+
+        async def pause_and_read() -> None:
+            await anyio.sleep(4 * 0.3)
+            await anyio.to_thread.run_sync(read_and_respond)
+
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(pause_and_read)
+                response = await connection.exchange(
+                    head + body, head_only=False, matches=is_matching, timeout_s=5
+                )
+        assert response.body == b"whole"
+        # Short requests are lost sooner on connections that have fallen silent.
+        raw = connection._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 0
+        peer.sendall(make_response())
+        await connection.exchange(
+            REQUEST, head_only=False, matches=is_matching, timeout_s=5
+        )
+        assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 300
+        for used in (listener, peer):
+            used.close()
+
     async def test_response_may_arrive_before_the_body_is_sent(self, target: Target):
         connection = await target.pool.acquire(at_most_once=False)
         peer = target.accept()
