Let a route whose services all have weight 0 lead nowhere

What callers would see: requests on such a route run by the service in a field that counts only in place of the weights, or 502 if the field is missing.

The tests of the parser and of the call path fail before: a destination that the weights exclude, and 502 in place of 503. Requests on the route are refused as not run now, after their key was checked.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -140,6 +140,12 @@
         terms = self._find_account(index, route, request)
         if isinstance(terms, Refusal):
             return terms
+        if not route.destinations:
+            return Refusal(
+                reason=RefusalReason.NO_TARGET,
+                message="the route leads to no service",
+                retry_after_s=STALE_RETRY_AFTER_S,
+            )
         if not self._can_finish(request, route, arrived):
             return Refusal(
                 reason=RefusalReason.DRAINING,
--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -340,6 +340,20 @@
                 await wait_until(lambda node=node: node.sidecar.config_version == 3)
                 assert (await node.call("/look/x")).status == 401
 
+    async def test_request_on_a_route_that_leads_nowhere_is_not_run(self):
+        """Guards against an error in place of a refusal that says so."""
+        async with run_fleet(("stock",)) as fleet:
+            config = make_config(2)
+            routes = tuple(
+                msgspec.structs.replace(route, destinations=())
+                for route in config.routes
+            )
+            fleet.store.put_config(msgspec.structs.replace(config, routes=routes))
+            node = fleet.nodes[0]
+            await wait_until(lambda: node.sidecar.config_version == 2)
+            assert (await node.call("/look/x")).status == 503
+            assert node.target.received == []
+
     @pytest.mark.parametrize("restarts", [False, True])
     async def test_no_key_works_once_the_last_account_is_removed(self, restarts: bool):
         """Guards against routes that are open to everybody without the last account.
--- a/tests/thistlegate/test_translation.py
+++ b/tests/thistlegate/test_translation.py
@@ -99,6 +99,18 @@
         assert account is not None
         assert (account.rate_per_s, account.burst, account.rank) == (7, 9, 1)
 
+    def test_route_whose_services_all_have_weight_0_leads_nowhere(
+        self, document: Document
+    ):
+        """Guards against a route that falls back to a service it doesn't name."""
+        hosts = msgspec.json.decode(encode(document["virtualHosts"]))
+        path = hosts[0]["paths"][0]
+        path["service"] = "stock"
+        for weighted in path["weightedServices"]:
+            weighted["weight"] = 0
+        config = read_config_document(encode({**document, "virtualHosts": hosts}))
+        assert config.routes[0].destinations == ()
+
     def test_keys_are_stored_only_as_digests(self, document: Document):
         config = read_config_document(encode(document))
         assert "k1" not in repr(config.accounts[0].key_digests)
