Ask for recent evidence of a key also where no account is required

What callers would see: a withdrawn key that works at a node which still has a version without accounts, for as long as the node misses the newer one.

Cause: the age of the evidence was looked at only where a key is asked for.

The new test fails before, on both event loops: "assert 200 == 503" once the evidence is older than a withdrawn key may work.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -183,18 +183,22 @@
     def _find_account(
         self, index: ConfigIndex, route: RouteRule, request: Request
     ) -> AccountTerms | Refusal | None:
-        accounts_required = index.config.account_use is AccountUse.REQUIRED
-        if route.open_to_all or not accounts_required:
+        if route.open_to_all:
             return None
+        key = _read_key(request)
+        is_required = index.config.account_use is AccountUse.REQUIRED
+        if key is None and not is_required:
+            return None
+        # Where no account is required, the newest version may still withdraw keys.
         age_s = self._fleet.freshness.age_s(read_clock())
         if age_s > self._key_trust_s:
             return _not_ready(f"keys were last confirmed {age_s:.1f} s ago")
-        value = request.get(b"authorization") or b""
-        if value[: len(_BEARER)].lower() != _BEARER:
+        if not is_required:
+            return None
+        if key is None:
             return self._deny_unless_outdated(
                 RefusalReason.KEY_MISSING, "the request has no key"
             )
-        key = value[len(_BEARER) :].strip().decode("latin-1")
         terms = index.find_account(key)
         if terms is None:
             return self._deny_unless_outdated(
@@ -301,6 +305,14 @@
         self._decisions.write(Decision.REQUEST_REJECTED, make_detail)
 
 
+def _read_key(request: Request) -> str | None:
+    """Return the key of a request, or None if it carries none."""
+    value = request.get(b"authorization") or b""
+    if value[: len(_BEARER)].lower() != _BEARER:
+        return None
+    return value[len(_BEARER) :].strip().decode("latin-1")
+
+
 def _may_be_internal(terms: AccountTerms | None) -> bool:
     """Return whether a request may be a call that the local target makes.
 
--- a/packages/endivebeam-sidecar/tests/test_call_path.py
+++ b/packages/endivebeam-sidecar/tests/test_call_path.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from endivebeam_fleet import CallKind, TargetPhase
+from endivebeam_fleet import AccountUse, CallKind, TargetPhase
 from endivebeam_http import Field, Request, Response
 from endivebeam_model import ConfigVersion
 from endivebeam_sidecar import Bounds, read_clock
@@ -354,6 +354,24 @@
             assert (await node.call("/look/x")).status == 503
             assert node.target.received == []
 
+    async def test_key_needs_evidence_also_while_no_account_is_required(self):
+        """Guards against a withdrawn key that works at a node that missed the change.
+
+        The newest version may require accounts again.
+        """
+        store = FakeStore()
+        store.config = make_config(accounts=(), account_use=AccountUse.NOT_REQUIRED)
+        bounds = Bounds(key_withdrawal_s=1.0)
+        async with run_fleet(("stock",), store=store, bounds=bounds) as fleet:
+            node = fleet.nodes[0]
+            for key in (KEY, None):
+                assert (await node.call("/look/x", key=key)).status == 200
+            store.is_unavailable = True
+            await wait_until(lambda: node.sidecar.config_age_s > 1.0)
+            assert (await node.call("/look/x")).status == 503
+            assert (await node.call("/look/x", key=None)).status == 200
+            assert (await node.call("/open/x")).status == 200
+
     @pytest.mark.parametrize("restarts", [False, True])
     async def test_no_key_works_once_the_last_account_is_removed(self, restarts: bool):
         """Guards against routes that are open to everybody without the last account.
