--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -47,7 +47,7 @@
 from ._lost_replies import KeptReplies
 from ._metrics import SidecarMetrics
 from ._peer_calls import PeerCalls
-from ._planned_stop import PlannedStop, start_planned_stop
+from ._planned_stop import finish_requests, start_planned_stop
 from ._settings import SidecarSettings
 from ._state import FleetState
 from ._supervision import supervise
@@ -57,9 +57,6 @@
 PROBE_PERIOD_S = 0.5
 # Part of the time for a planned stop that is reserved for closing connections.
 STOP_MARGIN_S = 1.0
-# Part of the margin for responses to the requests that were accepted last.
-LAST_RESPONSES_S = 0.5
-STOP_POLL_S = 0.05
 GAUGE_PERIOD_S = 2.0
 LAG_PERIOD_S = 1.0
 # A delay of the event loop that callers notice.
@@ -273,23 +270,15 @@
         self._fleet.update_own(self._target, MemberState.LEFT)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._control.announce_departure)
-            await self._finish_requests(stop)
+            await finish_requests(
+                stop,
+                is_idle=lambda: self._is_idle,
+                end_intake=self._caller_server.end_intake,
+                is_finished=lambda: self._is_finished,
+            )
             self._log_stop_end()
             tasks.cancel_scope.cancel()
 
-    async def _finish_requests(self, stop: PlannedStop) -> None:
-        """Serve until nothing is in progress, then accept nothing and answer the rest.
-
-        Nothing may be awaited between the last look and the end of the intake, since a
-        request that arrives in between would be cut off.
-        """
-        while not stop.is_over(read_clock(), idle=self._is_idle):
-            await anyio.sleep(STOP_POLL_S)
-        self._caller_server.end_intake()
-        with anyio.move_on_after(LAST_RESPONSES_S):
-            while not self._is_idle or self._caller_server.has_lingering_connections:
-                await anyio.sleep(STOP_POLL_S)
-
     @property
     def _is_idle(self) -> bool:
         """Whether no request is in progress and no answer is left to be sent."""
@@ -300,14 +289,23 @@
             or self._caller_server.busy_connections
         )
 
+    @property
+    def _is_finished(self) -> bool:
+        """Whether the node is idle and callers have closed their last connections."""
+        return self._is_idle and not self._caller_server.has_lingering_connections
+
     def _log_stop_end(self) -> None:
         """Log the end of a planned stop, as a warning if it cuts requests."""
-        busy = self._caller_server.busy_connections
-        bound = logger.bind(in_flight=self._target.in_flight, busy_connections=busy)
-        if busy or self._target.in_flight:
-            bound.warning("node: The time for the planned stop is over.")
-        else:
+        bound = logger.bind(
+            in_flight=self._target.in_flight,
+            peer_calls=self._peer_calls.in_progress,
+            unsent_to_peers=self._links.unsent_bytes,
+            busy_connections=self._caller_server.busy_connections,
+        )
+        if self._is_idle:
             bound.info("node: No request is left in the planned stop.")
+        else:
+            bound.warning("node: The time for the planned stop is over.")
 
     def _update_own_record(self) -> None:
         if self._stopping:
@@ -362,6 +360,7 @@
             load = self._target.load
             self.metrics.running.set(load.running)
             self.metrics.waiting.set(load.waiting)
+            self.metrics.held_bytes.set(self._caller_server.held_bytes)
             self.metrics.members.set(len(self._fleet.directory))
             self.metrics.config_version.set(self._fleet.config_version)
             self.metrics.config_age.set(min(self.config_age_s, 3600.0))
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_metrics.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_metrics.py
@@ -38,6 +38,9 @@
         )
         self.running = self._gauge("running_calls", "Calls at the local target.")
         self.waiting = self._gauge("waiting_calls", "Calls waiting for the target.")
+        self.held_bytes = self._gauge(
+            "held_response_bytes", "Bytes of responses that callers have not taken."
+        )
         self.members = self._gauge("members", "Nodes known and not gone.")
         self.config_version = self._gauge("config_version", "Version in force.")
         self.config_age = self._gauge(
