--- a/packages/endivebeam-sidecar/tests/_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_fleet.py
@@ -5,19 +5,13 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
 
 import anyio
 import anyio.abc
 
 from endivebeam_fleet import (
-    AccountTerms,
     Announcement,
-    Destination,
-    FleetConfig,
-    RouteRule,
     TargetPhase,
-    digest_key,
 )
 from endivebeam_http import (
     Exchange,
@@ -31,181 +25,18 @@
     plain_error_response,
 )
 from endivebeam_model import (
-    AccountId,
     Address,
-    ConfigVersion,
     DomainName,
-    Member,
     NodeId,
     RegionName,
-    Semantics,
     ServiceName,
 )
-from endivebeam_sidecar import (
-    Bounds,
-    ConfigReadResult,
-    MemberReadResult,
-    Sidecar,
-    SidecarSettings,
-    StoredMember,
-    StoreUnavailableError,
-    read_clock,
-)
-
-T = TypeVar("T")
-WAIT_S = 10.0
-KEY = "key-of-fit"
-ACCOUNT = AccountTerms(
-    account=AccountId("fit"), key_digests=(digest_key(KEY),), rate_per_s=0.0
-)
-
-
-def make_route(
-    name: str,
-    *,
-    service: str = "stock",
-    semantics: Semantics = Semantics.IDEMPOTENT,
-    timeout_s: float = 2.0,
-    max_attempts: int = 2,
-    open_to_all: bool = False,
-) -> RouteRule:
-    return RouteRule(
-        name=name,
-        host="shop.example",
-        prefix=f"/{name}/",
-        destinations=(Destination(ServiceName(service)),),
-        semantics=semantics,
-        timeout_s=timeout_s,
-        objective_s=1.0,
-        max_attempts=max_attempts,
-        open_to_all=open_to_all,
-    )
-
+from endivebeam_sidecar import Bounds, Sidecar, SidecarSettings, read_clock
 
-def make_config(
-    version: int = 1,
-    accounts: tuple[AccountTerms, ...] = (ACCOUNT,),
-    **terms: Any,
-) -> FleetConfig:
-    return FleetConfig(
-        version=ConfigVersion(version),
-        routes=(
-            make_route("look"),
-            make_route("charge", semantics=Semantics.AT_MOST_ONCE),
-            make_route("open", open_to_all=True),
-            make_route("quick", timeout_s=1.0),
-            make_route("vans", service="vans"),
-        ),
-        accounts=accounts,
-        **terms,
-    )
+from ._configs import KEY
+from ._store import FakeStore, StoreView
 
-
-class FakeStore:
-    """The platform's store in memory; it can be unavailable to all or some nodes."""
-
-    def __init__(self) -> None:
-        self.config: FleetConfig | None = make_config()
-        self.members: dict[NodeId, tuple[Member, int]] = {}
-        self.version = 1
-        self.is_unavailable = False
-        self.members_unavailable = False
-        self.cut_off: set[NodeId] = set()
-        self._changed = anyio.Event()
-
-    def put_config(self, config: FleetConfig) -> None:
-        self.config = config
-        self._mark_changed()
-
-    async def read_config(self, *, timeout_s: float) -> ConfigReadResult:
-        await self._check_available()
-        return self._config_result()
-
-    async def watch_config(
-        self, position: int, *, wait_s: float, timeout_s: float
-    ) -> ConfigReadResult:
-        await self._wait(position, wait_s)
-        return self._config_result()
-
-    async def read_members(self) -> MemberReadResult:
-        await self._check_available()
-        if self.members_unavailable:
-            raise StoreUnavailableError("the members cannot be read")
-        return self._member_result()
-
-    async def write_member(self, member: Member) -> int:
-        await self._check_available()
-        self._mark_changed()
-        self.members[member.node_id] = (member, self.version)
-        return self.version
-
-    async def remove_member(self, node_id: NodeId, *, version: int) -> None:
-        await self._check_available()
-        if self.members.get(node_id, (None, 0))[1] == version:
-            del self.members[node_id]
-            self._mark_changed()
-
-    async def _check_available(self) -> None:
-        await anyio.lowlevel.checkpoint()
-        if self.is_unavailable:
-            raise StoreUnavailableError("the store is unavailable")
-
-    async def _wait(self, position: int, wait_s: float) -> None:
-        await self._check_available()
-        with anyio.move_on_after(wait_s):
-            while self.version <= position:
-                await self._changed.wait()
-        await self._check_available()
-
-    def _mark_changed(self) -> None:
-        self.version += 1
-        self._changed.set()
-        self._changed = anyio.Event()
-
-    def _config_result(self) -> ConfigReadResult:
-        return ConfigReadResult(
-            config=self.config, position=self.version, store_now=read_clock()
-        )
-
-    def _member_result(self) -> MemberReadResult:
-        rows = tuple(
-            StoredMember(node_id=n, member=m, version=v)
-            for n, (m, v) in self.members.items()
-        )
-        return MemberReadResult(rows=rows)
-
-
-class StoreView:
-    """One node's access to the store; every call fails once the node is cut off."""
-
-    def __init__(self, store: FakeStore, node_id: NodeId) -> None:
-        self._store = store
-        self._node_id = node_id
-
-    async def read_config(self, *, timeout_s: float) -> ConfigReadResult:
-        return await self._check_access(self._store.read_config(timeout_s=timeout_s))
-
-    async def watch_config(
-        self, position: int, *, wait_s: float, timeout_s: float
-    ) -> ConfigReadResult:
-        return await self._check_access(
-            self._store.watch_config(position, wait_s=wait_s, timeout_s=timeout_s)
-        )
-
-    async def read_members(self) -> MemberReadResult:
-        return await self._check_access(self._store.read_members())
-
-    async def write_member(self, member: Member) -> int:
-        return await self._check_access(self._store.write_member(member))
-
-    async def remove_member(self, node_id: NodeId, *, version: int) -> None:
-        await self._check_access(self._store.remove_member(node_id, version=version))
-
-    async def _check_access(self, call: Awaitable[T]) -> T:
-        result = await call
-        if self._node_id in self._store.cut_off:
-            raise StoreUnavailableError("the store rejects this node")
-        return result
+WAIT_S = 10.0
 
 
 Behavior = Callable[[Request], Awaitable[Response | bytes]]
--- a/packages/endivebeam-sidecar/tests/test_config_transfer.py
+++ b/packages/endivebeam-sidecar/tests/test_config_transfer.py
@@ -29,7 +29,9 @@
     encode_frame,
 )
 
-from ._fleet import FakeStore, make_config, make_route, run_fleet, wait_until
+from ._configs import make_config, make_route
+from ._fleet import run_fleet, wait_until
+from ._store import FakeStore
 
 pytestmark = pytest.mark.anyio
 SLOW_LINK_BYTES_PER_S = 10_000_000 / 8
--- a/packages/endivebeam-sidecar/tests/test_planned_stops.py
+++ b/packages/endivebeam-sidecar/tests/test_planned_stops.py
@@ -18,17 +18,10 @@
 from endivebeam_sidecar._target import LocalTarget
 from endivebeam_wire import HeartbeatEcho, SyncRequest
 
-from ._fleet import (
-    ACCOUNT,
-    WAIT_S,
-    FakeStore,
-    Node,
-    encode_call,
-    make_config,
-    run_fleet,
-    wait_until,
-)
+from ._configs import ACCOUNT, make_config
+from ._fleet import WAIT_S, Node, encode_call, run_fleet, wait_until
 from ._steps import pause_after_awaits
+from ._store import FakeStore
 
 pytestmark = pytest.mark.anyio
 # Awaits of a node from the request to stop until it has ended.
--- a/packages/endivebeam-sidecar/tests/test_store_watchers.py
+++ b/packages/endivebeam-sidecar/tests/test_store_watchers.py
@@ -6,7 +6,9 @@
 from endivebeam_sidecar import Bounds, read_clock
 from endivebeam_sidecar._store_watchers import MIN_WATCHERS
 
-from ._fleet import FakeStore, Fleet, make_config, run_fleet, wait_until
+from ._configs import make_config
+from ._fleet import Fleet, run_fleet, wait_until
+from ._store import FakeStore
 
 pytestmark = pytest.mark.anyio
 NODES = 5
