--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_config_codec.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_config_codec.py
@@ -1,8 +1,8 @@
 """Encoding in which nodes transfer a configuration to each other.
 
-Nodes of an earlier version send and expect no ``account_use``. They take an empty set
-of accounts as leave for everybody, so they are sent an account without keys in its
-place. What they send without accounts says neither and is not accepted.
+Nodes of an earlier version send and expect no ``account_use``. They open all routes
+for an empty set of accounts, so they are sent an account without keys in its place.
+What they send without accounts may mean either and is not accepted.
 """
 
 import zlib
--- a/packages/endivebeam-fleet/tests/test_config.py
+++ b/packages/endivebeam-fleet/tests/test_config.py
@@ -107,7 +107,7 @@
     def test_earlier_node_opens_routes_only_if_no_account_is_required(
         self, config: FleetConfig, is_open: bool
     ):
-        """Guards against nodes that take an empty set of accounts as leave for all."""
+        """Guards against nodes that open all routes for an empty set of accounts."""
         plain = zlib.decompress(encode_config(config))
         received = msgspec.msgpack.decode(plain, type=EarlierConfig)
         assert (not received.accounts) is is_open
--- a/tests/thistlegate/test_translation.py
+++ b/tests/thistlegate/test_translation.py
@@ -127,7 +127,7 @@
     def test_accounts_are_required_unless_the_document_has_no_set_of_them(
         self, document: Document, change: Document, account_use: AccountUse, count: int
     ):
-        """Guards against an empty set of accounts that is read as leave for all."""
+        """Guards against an empty set of accounts that is read as none required."""
         fields = {**document, **change}
         present = {k: v for k, v in fields.items() if v is not msgspec.UNSET}
         config = read_config_document(encode(present))
