End the intake of the first daemon in one step too

What callers would see: requests on new connections that ran and were cut as a node of `endivebeamd` drained.

--- a/packages/endivebeam-http/src/endivebeam_http/_listeners.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_listeners.py
@@ -34,6 +34,7 @@
         self._max_body_bytes = max_body_bytes
         self._connections: set[ServerConnection] = set()
         self._close_announced = False
+        self._intake_ended = False
 
     def __len__(self) -> int:
         """Return the number of open connections."""
@@ -60,8 +61,17 @@
         for connection in list(self._connections):
             connection.drain()
 
+    def end_intake(self) -> None:
+        """Close further connections unread, idle ones now and the others in time.
+
+        This happens at once, so that no request arrives between a look at the number
+        of connections and this call, as long as nothing is awaited.
+        """
+        self._intake_ended = True
+        self.drain()
+
     async def _serve_stream(self, stream: anyio.abc.ByteStream) -> None:
-        if len(self._connections) >= self._max_connections:
+        if self._intake_ended or len(self._connections) >= self._max_connections:
             await anyio.aclose_forcefully(stream)
             return
         connection = ServerConnection(
--- a/packages/endivebeam-http/tests/test_connections.py
+++ b/packages/endivebeam-http/tests/test_connections.py
@@ -138,6 +138,22 @@
             with pytest.raises(anyio.EndOfStream):
                 await stream.receive()
 
+    async def test_connection_after_the_end_of_the_intake_is_closed_unread(self):
+        """Guards against requests that a server accepts although it is about to end."""
+        handled: list[str] = []
+
+        async def record(request: Request) -> Response:
+            handled.append(request.target)
+            return await echo(request)
+
+        async with serve(record) as running:
+            running.server.end_intake()
+            async with await running.connect() as stream:
+                await stream.send(b"GET /late HTTP/1.1\r\nhost: a\r\n\r\n")
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    await stream.receive()
+        assert handled == []
+
     async def test_announced_close_keeps_an_idle_connection_open(self):
         """Guards against a planned stop that closes while a caller sends a request."""
         async with serve(echo) as running:
--- a/packages/endivebeam-node/src/endivebeam_node/_daemon.py
+++ b/packages/endivebeam-node/src/endivebeam_node/_daemon.py
@@ -264,6 +264,9 @@
                 # Repeated for connections that were opened after the drain began.
                 self._caller_server.drain()
                 await anyio.sleep(DRAIN_CHECK_PERIOD_S)
+        # Nothing is awaited since the last look: a request in between would be cut.
+        for server in (self._caller_server, self._local_server):
+            server.end_intake()
         await self.operations.finish()
         self.members.update_local(state=MemberState.LEFT)
         await anyio.sleep(LEFT_GOSSIP_S)
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -72,6 +72,46 @@
         return "answered", announces_close
 
 
+class LoyalCaller:
+    """Sends one call after the other to one node, each on a new connection.
+
+    ``answered`` has the paths of calls with a response, ``cut`` of those without.
+    """
+
+    _numbers = itertools.count()
+
+    def __init__(self, demo: Demo, node: FleetNode) -> None:
+        self.answered: list[str] = []
+        self.cut: list[str] = []
+        self._key = next(iter(demo.keys.values()))
+        self._url = node.caller_url
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self) -> "LoyalCaller":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        headers = {"authorization": f"Bearer {self._key}"}
+        while not self._stop.is_set():
+            path = f"/late?n={next(self._numbers)}"
+            try:
+                url = f"{self._url}/bookings{path}"
+                httpx.get(url, headers=headers, timeout=CALL_TIMEOUT_S)
+            except httpx.ConnectError:
+                # The node listens no longer.
+                return
+            except httpx.HTTPError:
+                self.cut.append(path)
+            else:
+                self.answered.append(path)
+
+
 def start_fleet(fleet: Fleet) -> Demo:
     demo = Demo(fleet=fleet)
     for domain in DOMAINS:
@@ -155,3 +195,23 @@
             print(dict(outcomes))
             assert set(outcomes) == {"answered"}
             assert all(c.kept_open_count > 20 for c in callers)
+
+    def test_requests_at_the_end_of_a_stop_run_only_if_they_are_answered(
+        self, tmp_path: Path
+    ):
+        """Guards against requests on new connections that a node takes as it ends."""
+        with run_fleet(tmp_path) as fleet:
+            demo = start_fleet(fleet)
+            stopping = fleet.nodes[0]
+            with ExitStack() as stack:
+                callers = [
+                    stack.enter_context(LoyalCaller(demo, stopping))
+                    for _ in range(2 * CALLERS_PER_NODE)
+                ]
+                wait_for(lambda: all(c.answered for c in callers), "a call of each")
+                stopping.node.terminate()
+                assert stopping.node.wait(CALL_TIMEOUT_S * 2) == 0
+            ran = set[str]()
+            for node in fleet.nodes:
+                ran.update(httpx.get(f"{node.target_url}/record").json()["paths"])
+            assert not ran & {path for caller in callers for path in caller.cut}
