--- a/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
@@ -127,7 +127,7 @@
         # The last exchanges of ``_open``, whose handlers have not started.
         self._pending: deque[Exchange] = deque()
         self._pending_bytes = 0
-        # Of complete responses that are not sent yet.
+        # Bodies of complete responses that are not sent yet.
         self._ready_bytes = 0
         self._send_progress = SendProgress()
         self._phase = _Phase.OPEN
