--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack
 from pathlib import Path
+from typing import Self
 
 import httpx
 import pytest
@@ -22,22 +23,15 @@
 CALL_TIMEOUT_S = 15.0
 
 
-class Caller:
-    """Sends one call after the other over a persistent connection.
-
-    Like a load balancer, it changes to another node when a response has
-    ``Connection: close``, by which a node announces that it closes the connection.
-    """
+class CallerThread:
+    """A thread that sends calls with a key until it is told to stop."""
 
-    def __init__(self, demo: Demo, nodes: list[FleetNode]) -> None:
-        self.outcomes: Counter[str] = Counter()
-        self.kept_open_count = 0
-        self._key = next(iter(demo.keys.values()))
-        self._urls: Iterator[str] = itertools.cycle([n.caller_url for n in nodes])
+    def __init__(self, demo: Demo) -> None:
+        self._headers = {"authorization": f"Bearer {next(iter(demo.keys.values()))}"}
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run)
 
-    def __enter__(self) -> "Caller":
+    def __enter__(self) -> Self:
         self._thread.start()
         return self
 
@@ -46,8 +40,24 @@
         self._thread.join()
 
     def _run(self) -> None:
-        headers = {"authorization": f"Bearer {self._key}"}
-        with httpx.Client(headers=headers, timeout=CALL_TIMEOUT_S) as client:
+        raise NotImplementedError
+
+
+class Caller(CallerThread):
+    """Sends one call after the other over a persistent connection.
+
+    Like a load balancer, it changes to another node when a response has
+    ``Connection: close``, by which a node announces that it closes the connection.
+    """
+
+    def __init__(self, demo: Demo, nodes: list[FleetNode]) -> None:
+        super().__init__(demo)
+        self.outcomes: Counter[str] = Counter()
+        self.kept_open_count = 0
+        self._urls: Iterator[str] = itertools.cycle([n.caller_url for n in nodes])
+
+    def _run(self) -> None:
+        with httpx.Client(headers=self._headers, timeout=CALL_TIMEOUT_S) as client:
             url = next(self._urls)
             for number in itertools.count():
                 if self._stop.is_set():
@@ -72,7 +82,7 @@
         return "answered", announces_close
 
 
-class LoyalCaller:
+class LoyalCaller(CallerThread):
     """Sends one call after the other to one node, each on a new connection.
 
     ``answered`` has the paths of calls with a response, ``cut`` of those without.
@@ -81,28 +91,17 @@
     _numbers = itertools.count()
 
     def __init__(self, demo: Demo, node: FleetNode) -> None:
+        super().__init__(demo)
         self.answered: list[str] = []
         self.cut: list[str] = []
-        self._key = next(iter(demo.keys.values()))
         self._url = node.caller_url
-        self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._run)
-
-    def __enter__(self) -> "LoyalCaller":
-        self._thread.start()
-        return self
-
-    def __exit__(self, *error: object) -> None:
-        self._stop.set()
-        self._thread.join()
 
     def _run(self) -> None:
-        headers = {"authorization": f"Bearer {self._key}"}
         while not self._stop.is_set():
             path = f"/late?n={next(self._numbers)}"
             try:
                 url = f"{self._url}/bookings{path}"
-                httpx.get(url, headers=headers, timeout=CALL_TIMEOUT_S)
+                httpx.get(url, headers=self._headers, timeout=CALL_TIMEOUT_S)
             except httpx.ConnectError:
                 # The node listens no longer.
                 return
