Take an answer without length for whole only if its request was taken

Cause: the end of the connection decides whether such an answer is whole. The kernel reports an error of a socket to one call only; a read after it reports a regular end. If a write was told of the reset first, the read at the end of the stream found none. And a target that ends its sending side while a part of the request is unsent was believed too.

Now the state of the connection in the kernel tells a reset from an end, which no call consumes, and an answer without length isn't whole while the target's kernel has not taken the whole request. When a target has received all of the request, its FIN confirms it, so nothing is unacknowledged when the end arrives.

The same cause elsewhere: answers of the store and of targets use this client; answers between nodes are frames with lengths; the client of the older daemon takes no answer that ends with its connection.

--- a/packages/endivebeam-http/src/endivebeam_http/_target_client.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_target_client.py
@@ -150,6 +150,11 @@
         if error is not None:
             self._fail(ConnectionLostError(f"the connection broke: {error}"))
             return
+        if self._stream.has_untaken_bytes:
+            # A target in trouble: what it sent before may be a part of its answer.
+            reason = "the target closed the connection before it took the request"
+            self._fail(ConnectionLostError(reason))
+            return
         self._queue.finish()
         self._match_responses()
 
--- a/packages/endivebeam-http/src/endivebeam_http/_transport.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_transport.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import os
 import socket
 from collections.abc import Callable, Mapping
 from typing import Any, cast
@@ -18,6 +17,7 @@
 from anyio.abc import SocketAttribute
 
 from ._loss_detection import LossDetection, set_loss_detection
+from ._socket_state import count_unacknowledged_bytes, read_end_error
 
 # Bytes that are read ahead before reading is paused.
 MAX_BUFFERED_BYTES = 256 << 10
@@ -77,9 +77,9 @@
 
     def eof_received(self) -> None:
         # The event loop may report a regular end although a reset arrived together
-        # with the last bytes; reading the socket distinguishes the two.
+        # with the last bytes; the socket distinguishes the two.
         assert self.transport is not None
-        self._record_end(_read_error(self.transport.get_extra_info("socket")))
+        self._record_end(read_end_error(self.transport.get_extra_info("socket")))
 
     def connection_lost(self, error: Exception | None) -> None:
         self.is_lost = True
@@ -214,6 +214,14 @@
         """Number of bytes in the write buffer, not yet accepted by the kernel."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def has_untaken_bytes(self) -> bool:
+        """Whether the peer's kernel has not taken all sent bytes."""
+        if self.unsent_bytes:
+            return True
+        raw = self._transport.get_extra_info("socket")
+        return raw is not None and count_unacknowledged_bytes(raw) > 0
+
     def detect_loss(self, detection: LossDetection) -> None:
         """Change how the kernel finds out that the peer is gone."""
         if detection is not self._protocol.loss_detection and not self.has_ended:
@@ -349,17 +357,6 @@
     return listener
 
 
-def _read_error(raw: socket.socket) -> Exception | None:
-    """Return the error of an ended connection, or None after a regular end."""
-    try:
-        os.read(raw.fileno(), 1)
-    except BlockingIOError:
-        return None
-    except OSError as error:
-        return error
-    return None
-
-
 def _set_options(raw: socket.socket, detection: LossDetection) -> None:
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     set_loss_detection(raw, detection)
