--- a/packages/endivebeam-http/src/endivebeam_http/_parsers.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_parsers.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from ._framing import check_header
+from ._framing import check_header, check_version
 from ._messages import (
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
@@ -68,8 +68,9 @@
     def _make_overhead_error(self) -> HttpError:
         return HttpError(HTTPStatus.BAD_REQUEST, "too many bytes outside of a body")
 
-    def _complete_header(self) -> None:
+    def _complete_header(self, version: str) -> None:
         self._header_complete = True
+        check_version(version)
         self._index = check_header(
             self._fields,
             max_bytes=self._max_header_bytes,
@@ -173,7 +174,7 @@
             raise HttpError(HTTPStatus.REQUEST_URI_TOO_LONG, "request target too long")
 
     def on_headers_complete(self) -> None:
-        self._complete_header()
+        self._complete_header(self._parser.get_http_version())
         if self._parser.get_method() == b"CONNECT":
             raise HttpError(HTTPStatus.NOT_IMPLEMENTED, "CONNECT is not supported")
         length = self._index.get(b"content-length")
--- a/packages/endivebeam-http/src/endivebeam_http/_responses.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_responses.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from ._framing import check_status
 from ._messages import MAX_BODY_BYTES, MAX_HEADER_BYTES, HttpError, Response
 from ._parsers import MessageParser, translate_error
 
@@ -84,8 +85,9 @@
         self._started = True
 
     def on_headers_complete(self) -> None:
-        self._complete_header()
+        self._complete_header(self._parser.get_http_version())
         status = self._parser.get_status_code()
+        check_status(status)
         index = self._index
         framed = b"content-length" in index or b"transfer-encoding" in index
         if self.head_only and status >= 200:
