Bound the work that the input of one connection gets in a turn

One read of up to 256 KiB was parsed at once, some 40,000 chunks or 10,000 requests, and each of them costs callbacks; with hundreds of such connections an iteration of the event loop took many seconds. Bytes after a refusal were read and dropped without a bound for as long as the connection stayed.

Received bytes are parsed in small parts now. A connection gets a bounded work in a turn; one that has more input isn't read until it is parsed, in turns with others that take at most 2 ms of an iteration. After a refusal up to 1 MiB more is read, so that a caller that still sends gets to the response.

--- a/packages/endivebeam-http/src/endivebeam_http/__init__.py
+++ b/packages/endivebeam-http/src/endivebeam_http/__init__.py
@@ -5,6 +5,8 @@
 """
 
 from ._client import ClientPool, NotSentError, encode_request
+from ._exchanges import Exchange, ExchangeHandler
+from ._limits import ServerLimits
 from ._listeners import MAX_CONNECTIONS, HttpServer, SocketListener
 from ._loss_detection import LossDetection
 from ._messages import (
@@ -21,7 +23,6 @@
 )
 from ._parsers import RequestParser
 from ._pipeline import PipelinedServer
-from ._pipelined_connection import Exchange, ExchangeHandler, ServerLimits
 from ._process_signals import receive_signals
 from ._responses import ResponseQueue
 from ._server import Handler, ServerConnection, encode_response, plain_error_response
--- a/packages/endivebeam-http/src/endivebeam_http/_parsers.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_parsers.py
@@ -20,6 +20,8 @@
 MAX_FEED_BYTES = 16 << 10
 # Size line and line ends of a chunk without extensions.
 CHUNK_FRAMING_BYTES = 16
+# Work for a message, in that for a chunk.
+MESSAGE_WORK = 8
 
 
 class MessageParser:
@@ -29,6 +31,9 @@
     arrives. So all bytes that belong to no body are counted as they arrive: first
     line, fields, blank lines, interim responses, sizes and extensions of chunks. A
     message may have ``max_header_bytes`` and ``MAX_TARGET_BYTES`` of them.
+
+    ``work`` rises with the number of messages and chunks, which cost far more than
+    their bytes.
     """
 
     def __init__(
@@ -43,6 +48,7 @@
         self._body_status = body_status
         self._max_overhead_bytes = max_header_bytes + MAX_TARGET_BYTES
         self._overhead_bytes = 0
+        self.work = 0
         self._fields: list[Field] = []
         self._index: dict[bytes, bytes] = {}
         self._header_complete = False
@@ -53,9 +59,9 @@
         self._header_complete = False
         self._body = b""
 
-    def _feed(self, parser: Any, data: bytes) -> None:
+    def _feed(self, parser: Any, data: bytes | memoryview) -> None:
         """Pass bytes to the parser; raises its errors and ``HttpError``."""
-        view: bytes | memoryview = data
+        view = data
         if len(data) > MAX_FEED_BYTES:
             view = memoryview(data)
         for start in range(0, len(data), MAX_FEED_BYTES):
@@ -78,6 +84,7 @@
         )
 
     def on_message_begin(self) -> None:
+        self.work += MESSAGE_WORK
         self._start_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -100,6 +107,7 @@
         self._body += data
 
     def on_chunk_complete(self) -> None:
+        self.work += 1
         self._overhead_bytes = max(0, self._overhead_bytes - CHUNK_FRAMING_BYTES)
 
 
@@ -142,7 +150,7 @@
         """Whether the header of the current request is complete."""
         return self._header_complete
 
-    def feed(self, data: bytes) -> list[Request]:
+    def feed(self, data: bytes | memoryview) -> list[Request]:
         """Parse bytes and return the requests that they complete.
 
         Raises ``HttpError``; the connection must then be closed. Requests that
@@ -158,6 +166,13 @@
             raise translate_error(error) from None
         return self.pop_complete()
 
+    def discard(self) -> None:
+        """Drop the request that is received in part; nothing may be fed after it."""
+        self._overhead_bytes = 0
+        self.started = False
+        self.expects_continue = False
+        self._start_message()
+
     def pop_complete(self) -> list[Request]:
         """Return and remove the complete requests that were not returned yet."""
         done, self._completed = self._completed, []
@@ -201,6 +216,7 @@
                 keep_alive=self._parser.should_keep_alive(),
             )
         )
+        self._body = b""
 
     def _make_overhead_error(self) -> HttpError:
         if self.started and not self.has_headers:
--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -5,11 +5,10 @@
 import anyio
 from loguru import logger
 
-from ._pipelined_connection import (
-    ExchangeHandler,
-    PipelinedConnection,
-    ServerLimits,
-)
+from ._exchanges import ExchangeHandler
+from ._limits import ServerLimits
+from ._pipelined_connection import PipelinedConnection
+from ._request_input import InputQueue
 from ._server import ErrorResponse
 from ._slow_readers import SlowReader, choose_readers_to_drop
 from ._tasks import TaskSet
@@ -36,6 +35,7 @@
         self._handler = handler
         self._error_response = error_response
         self._limits = limits
+        self._input_queue = InputQueue()
         self._connections: set[PipelinedConnection] = set()
         self._tasks = TaskSet()
         self._close_announced = False
@@ -110,6 +110,7 @@
             tasks=self._tasks,
             on_closed=self._connections.discard,
             on_held=self._record_held,
+            input_queue=self._input_queue,
         )
         if self._close_announced:
             connection.announce_close()
--- a/packages/endivebeam-http/tests/test_disconnects.py
+++ b/packages/endivebeam-http/tests/test_disconnects.py
@@ -16,7 +16,7 @@
     listen_tcp,
     plain_error_response,
 )
-from endivebeam_http import _pipelined_connection as pipelined_connection
+from endivebeam_http import _exchanges as exchanges
 
 pytestmark = pytest.mark.anyio
 TEST_TIMEOUT_S = 20.0
@@ -69,7 +69,7 @@
     ):
         # A connection with too many open requests was not read, so that its end was
         # not detected.
-        monkeypatch.setattr(pipelined_connection, "MAX_OPEN_EXCHANGES", 4)
+        monkeypatch.setattr(exchanges, "MAX_OPEN_EXCHANGES", 4)
         blocking = BlockingHandler()
         server = PipelinedServer(
             handler=blocking.handle,
--- a/packages/endivebeam-http/tests/test_pipeline.py
+++ b/packages/endivebeam-http/tests/test_pipeline.py
@@ -21,6 +21,7 @@
     listen_tcp,
     plain_error_response,
 )
+from endivebeam_http import _exchanges as exchanges
 from endivebeam_http import _loss_detection as loss_detection
 from endivebeam_http import _pipeline as pipeline
 from endivebeam_http import _pipelined_connection as pipelined_connection
@@ -126,7 +127,7 @@
     async def test_requests_above_the_limit_are_handled_later(
         self, monkeypatch: pytest.MonkeyPatch
     ):
-        monkeypatch.setattr(pipelined_connection, "MAX_OPEN_EXCHANGES", 2)
+        monkeypatch.setattr(exchanges, "MAX_OPEN_EXCHANGES", 2)
         async with serve(echo) as running, await running.connect() as stream:
             await stream.send(b"".join(encode(f"/{n}") for n in range(9)))
             responses = await receive(stream, 9)
--- /dev/null
+++ b/packages/endivebeam-http/tests/test_request_input.py
@@ -0,0 +1,119 @@
+"""Tests of the work that the input of one connection gets in a turn."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from endivebeam_http import HttpError, Request, RequestParser
+from endivebeam_http._request_input import (
+    MAX_TURN_WORK,
+    SMALL_PART_BYTES,
+    InputQueue,
+    RequestInput,
+)
+
+TINY_CHUNK = b"1\r\na\r\n"
+HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+SHORT = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+READ_BYTES = 256 << 10
+# The last part of a turn may bring this much work more.
+MAX_LAST_WORK = 1 << 10
+
+MESSAGES = st.lists(
+    st.sampled_from(
+        [
+            SHORT,
+            HEAD + TINY_CHUNK * 300 + b"0\r\n\r\n",
+            b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9000\r\n\r\n" + bytes(9000),
+        ]
+    ),
+    max_size=5,
+).map(b"".join)
+
+
+def parse_turn(received: RequestInput, parser: RequestParser) -> int:
+    """Parse in one turn and return the work."""
+    before = parser.work
+    received.parse()
+    return parser.work - before
+
+
+class TestTurn:
+    @pytest.mark.parametrize(
+        "data",
+        [HEAD + TINY_CHUNK * (READ_BYTES // len(TINY_CHUNK)), SHORT * 9000],
+        ids=["chunks of one byte", "many requests"],
+    )
+    def test_has_bounded_work_however_much_was_read(self, data: bytes):
+        """Guards against one connection that keeps the loop from all others."""
+        parser = RequestParser()
+        received = RequestInput(parser=parser)
+        received.add(data)
+        turns = 0
+        while received.has_unparsed:
+            assert parse_turn(received, parser) <= MAX_TURN_WORK + MAX_LAST_WORK
+            turns += 1
+        assert turns > 20
+
+    def test_later_turns_have_small_parts(self):
+        parser = RequestParser()
+        received = RequestInput(parser=parser)
+        received.add(HEAD + TINY_CHUNK * 20_000)
+        received.parse()
+        last_work = MAX_TURN_WORK + SMALL_PART_BYTES // len(TINY_CHUNK) + 1
+        while received.has_unparsed:
+            assert parse_turn(received, parser) <= last_work
+
+    def test_long_body_needs_one_turn(self):
+        size = 1 << 20
+        parser = RequestParser()
+        received = RequestInput(parser=parser)
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % size
+        received.add(head + bytes(size))
+        received.parse()
+        (request,) = received.pop_requests()
+        assert len(request.body) == size
+        assert received.is_empty
+
+    @given(MESSAGES, st.integers(1, 5000))
+    def test_turns_give_the_same_requests_as_one_feed(self, data: bytes, size: int):
+        received = RequestInput(parser=RequestParser())
+        requests: list[Request] = []
+        for start in range(0, len(data), size):
+            received.add(data[start : start + size])
+            received.parse()
+            requests += received.pop_requests()
+        while received.has_unparsed:
+            received.parse()
+            requests += received.pop_requests()
+        assert requests == RequestParser().feed(data)
+
+    def test_requests_before_a_malformed_one_are_kept(self):
+        received = RequestInput(parser=RequestParser())
+        received.add(SHORT + SHORT + b"nonsense\r\n\r\n")
+        with pytest.raises(HttpError):
+            received.parse()
+        assert len(received.pop_requests()) == 2
+
+
+@pytest.mark.anyio
+class TestInputQueue:
+    async def test_others_run_between_the_turns(self):
+        """Guards against a queue that keeps the loop until it is empty."""
+        queue = InputQueue()
+        turns = 0
+
+        def take_turn() -> None:
+            nonlocal turns
+            turns += 1
+            queue.add(take_turn)
+
+        for _ in range(50):
+            queue.add(take_turn)
+        for _ in range(20):
+            before = turns
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert turns > before
