Bound what a node holds for callers by the memory of its machine

Cause: nothing counted what is held for callers. The bounds on connections, bodies and responses were constants, whose product was 3 GB; the settings name the memory of the machine, and no line read it.

Now there is one budget for requests that are received in part, whole requests until their answer is sent, and answers that callers haven't taken. It is a third of the memory that is left beside the node's own, since bytes stand in memory up to three times. A body is counted as it comes. Large requests (over 32 KiB) may fill half of it, small ones three quarters, so an ordinary request finds room beside bodies. Without room a request is refused with 503, which is true: it was not run. Requests that have stopped for a second are given up with 408 when others need room; a byte now and then is no progress.

--- a/packages/endivebeam-http/src/endivebeam_http/__init__.py
+++ b/packages/endivebeam-http/src/endivebeam_http/__init__.py
@@ -9,6 +9,13 @@
 from ._limits import ServerLimits
 from ._listeners import MAX_CONNECTIONS, HttpServer, SocketListener
 from ._loss_detection import LossDetection
+from ._memory import (
+    REQUEST_OVERHEAD_BYTES,
+    HeldBytes,
+    MemoryBudget,
+    Purpose,
+    get_request_purpose,
+)
 from ._messages import (
     HOP_BY_HOP,
     MAX_BODY_BYTES,
@@ -39,6 +46,7 @@
     "HOP_BY_HOP",
     "MAX_BODY_BYTES",
     "MAX_CONNECTIONS",
+    "REQUEST_OVERHEAD_BYTES",
     "ClientPool",
     "Connect",
     "ConnectionLostError",
@@ -46,12 +54,15 @@
     "ExchangeHandler",
     "Field",
     "Handler",
+    "HeldBytes",
     "HttpError",
     "HttpServer",
     "LossDetection",
+    "MemoryBudget",
     "MismatchedResponseError",
     "NotSentError",
     "PipelinedServer",
+    "Purpose",
     "Request",
     "RequestParser",
     "Response",
@@ -69,6 +80,7 @@
     "encode_request",
     "encode_response",
     "get_field",
+    "get_request_purpose",
     "listen_tcp",
     "plain_error_response",
     "receive_signals",
--- /dev/null
+++ b/packages/endivebeam-http/src/endivebeam_http/_connection_memory.py
@@ -0,0 +1,54 @@
+"""What one connection of a caller holds in the budget of its server."""
+
+from collections.abc import Callable
+
+from ._memory import (
+    REQUEST_OVERHEAD_BYTES,
+    HeldBytes,
+    MemoryBudget,
+    get_request_purpose,
+)
+
+
+class ConnectionMemory:
+    """Bytes of a request that is received in part, and of everything after it.
+
+    ``on_full`` is called when there is no room; it may make some.
+    """
+
+    def __init__(self, *, budget: MemoryBudget, on_full: Callable[[], None]) -> None:
+        self._received = HeldBytes(budget)
+        self._accepted = HeldBytes(budget)
+        self._on_full = on_full
+
+    def receive(self, size: int) -> bool:
+        """Hold what is received of the next request; return whether there is room."""
+        return self._grow(self._received, size, size)
+
+    def drop_received(self) -> int:
+        """Hold nothing more of the next request; return how many bytes that was."""
+        size = self._received.size
+        self._received.resize(0)
+        return size
+
+    def accept(self, size: int, *, received_bytes: int) -> bool:
+        """Hold a complete request on top; return whether there is room.
+
+        A request of which ``received_bytes`` were held until now always has room.
+        """
+        total = self._accepted.size + size
+        if 0 < received_bytes >= size - REQUEST_OVERHEAD_BYTES:
+            self._accepted.resize(total)
+            return True
+        return self._grow(self._accepted, total, size)
+
+    def resize_accepted(self, size: int) -> None:
+        """Hold this many bytes of requests and responses, whether there is room."""
+        self._accepted.resize(size)
+
+    def _grow(self, held: HeldBytes, size: int, request_bytes: int) -> bool:
+        purpose = get_request_purpose(request_bytes)
+        if held.grow(size, purpose):
+            return True
+        self._on_full()
+        return held.grow(size, purpose)
--- a/packages/endivebeam-http/src/endivebeam_http/_exchanges.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_exchanges.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 
+from ._memory import REQUEST_OVERHEAD_BYTES
 from ._messages import Request, Response
 
 # Requests of one connection whose handlers run concurrently.
@@ -20,10 +21,11 @@
     The handler is cancelled if the caller disconnects before the response is ready.
     """
 
-    __slots__ = ("request", "response", "task")
+    __slots__ = ("held_bytes", "request", "response", "task")
 
     def __init__(self, request: Request) -> None:
         self.request = request
+        self.held_bytes = REQUEST_OVERHEAD_BYTES + len(request.body)
         self.response: Response | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -34,7 +36,7 @@
 class OpenExchanges:
     """Exchanges in the order of their requests; the last ones have no handler yet.
 
-    ``response_bytes`` are those of the complete responses.
+    ``held_bytes`` are those of the requests and of the responses that are complete.
     """
 
     def __init__(self) -> None:
@@ -42,12 +44,18 @@
         # The last exchanges of ``_open``, whose handlers have not started.
         self._pending: deque[Exchange] = deque()
         self._pending_bytes = 0
+        self._request_bytes = 0
         self.response_bytes = 0
 
     def __len__(self) -> int:
         """Return the number of requests that are not answered."""
         return len(self._open)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the requests and of the responses that are complete."""
+        return self._request_bytes + self.response_bytes
+
     @property
     def is_full(self) -> bool:
         """Whether so many handlers have not started that reading should be paused."""
@@ -66,6 +74,13 @@
         self._open.append(exchange)
         self._pending.append(exchange)
         self._pending_bytes += len(exchange.request.body)
+        self._request_bytes += exchange.held_bytes
+
+    def add_rejected(self, exchange: Exchange, response: Response) -> None:
+        """Add an exchange that is answered without a handler."""
+        exchange.held_bytes = 0
+        self._open.append(exchange)
+        self.complete(exchange, response)
 
     def pop_pending(self) -> Exchange | None:
         """Return the next exchange whose handler may start, or None."""
@@ -85,6 +100,7 @@
         """Remove the first exchange, whose response is complete."""
         exchange = self._open.popleft()
         assert exchange.response is not None
+        self._request_bytes -= exchange.held_bytes
         self.response_bytes -= len(exchange.response.body)
         return exchange.request, exchange.response
 
@@ -96,4 +112,5 @@
         self._open.clear()
         self._pending.clear()
         self._pending_bytes = 0
+        self._request_bytes = 0
         self.response_bytes = 0
--- a/packages/endivebeam-http/src/endivebeam_http/_messages.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_messages.py
@@ -43,12 +43,16 @@
     """A message violates the protocol or exceeds a limit.
 
     A server sends ``status`` to the client before it closes the connection.
+    ``retry_after_s`` is the time after which the client may try again, if that helps.
     """
 
-    def __init__(self, status: HTTPStatus, message: str) -> None:
+    def __init__(
+        self, status: HTTPStatus, message: str, *, retry_after_s: float | None = None
+    ) -> None:
         super().__init__(message)
         self.status = status
         self.message = message
+        self.retry_after_s = retry_after_s
 
 
 class ConnectionLostError(Exception):
--- a/packages/endivebeam-http/src/endivebeam_http/_parsers.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_parsers.py
@@ -54,6 +54,11 @@
         self._header_complete = False
         self._body: bytes | bytearray = b""
 
+    @property
+    def message_bytes(self) -> int:
+        """Bytes of the message that is received in part."""
+        return self._overhead_bytes + len(self._body)
+
     def _start_message(self) -> None:
         self._fields = []
         self._header_complete = False
--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -7,6 +7,7 @@
 
 from ._exchanges import ExchangeHandler
 from ._limits import ServerLimits
+from ._memory import MemoryBudget
 from ._pipelined_connection import PipelinedConnection
 from ._request_input import InputQueue
 from ._server import ErrorResponse
@@ -17,12 +18,17 @@
 SWEEP_PERIOD_S = 1.0
 # Part of the limit by which the held bytes may grow between two looks at all of them.
 HELD_CHECK_FRACTION = 1 / 8
+# A request that has stopped to come for this long is given up if there is no room.
+STALL_S = 1.0
+# Least time between two looks for such requests.
+RECLAIM_PERIOD_S = 0.1
 
 
 class PipelinedServer:
     """Serves pipelined connections.
 
-    A connection beyond ``limits.max_connections`` is closed at once.
+    A connection beyond ``limits.max_connections`` is closed at once. ``budget`` bounds
+    what is held for callers; a request for which there is no room is rejected.
     """
 
     def __init__(
@@ -31,11 +37,14 @@
         handler: ExchangeHandler,
         error_response: ErrorResponse,
         limits: ServerLimits,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._handler = handler
         self._error_response = error_response
         self._limits = limits
+        self._budget = budget or MemoryBudget()
         self._input_queue = InputQueue()
+        self._reclaimed_at = 0.0
         self._connections: set[PipelinedConnection] = set()
         self._tasks = TaskSet()
         self._close_announced = False
@@ -110,6 +119,8 @@
             tasks=self._tasks,
             on_closed=self._connections.discard,
             on_held=self._record_held,
+            on_full=self._reclaim,
+            budget=self._budget,
             input_queue=self._input_queue,
         )
         if self._close_announced:
@@ -117,6 +128,23 @@
         self._connections.add(connection)
         connection.start()
 
+    def _reclaim(self) -> None:
+        """Reject requests that stopped to come, because others find no room."""
+        now = time.monotonic()
+        if now - self._reclaimed_at < RECLAIM_PERIOD_S:
+            return
+        self._reclaimed_at = now
+        stalled = [
+            connection
+            for connection in self._connections
+            if connection.request_stalled_s(now) > STALL_S
+        ]
+        for connection in stalled:
+            connection.reject_stalled()
+        logger.bind(stalled=len(stalled), used_bytes=self._budget.used_bytes).warning(
+            "calls: The memory for requests is full."
+        )
+
     def _record_held(self, size: int) -> None:
         """Record that bytes are held for a caller; drop callers beyond the limit."""
         self._new_held_bytes += size
--- a/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
@@ -13,8 +13,10 @@
 
 from loguru import logger
 
+from ._connection_memory import ConnectionMemory
 from ._exchanges import Exchange, ExchangeHandler, OpenExchanges
 from ._limits import ServerLimits
+from ._memory import MemoryBudget, make_full_error
 from ._messages import HttpError, Request, Response
 from ._parsers import RequestParser
 from ._request_input import InputQueue, RequestInput
@@ -60,6 +62,8 @@
         tasks: TaskSet,
         on_closed: Callable[["PipelinedConnection"], None],
         on_held: Callable[[int], None],
+        on_full: Callable[[], None],
+        budget: MemoryBudget,
         input_queue: InputQueue,
     ) -> None:
         self._stream = stream
@@ -75,6 +79,7 @@
             max_header_bytes=limits.max_header_bytes,
         )
         self._input = RequestInput(parser=self._parser)
+        self._memory = ConnectionMemory(budget=budget, on_full=on_full)
         self._open = OpenExchanges()
         self._sender = ResponseSender(
             stream=stream, tasks=tasks, on_writable=self._flush, on_broken=self.close
@@ -91,6 +96,12 @@
         """Whether no request is being received or handled."""
         return not self._open and self._input.is_empty
 
+    def request_stalled_s(self, now: float) -> float:
+        """Return for how long a request that is received in part has stopped."""
+        if self._phase is not _Phase.OPEN or self._reading_paused:
+            return 0.0
+        return self._input.stalled_s(now)
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress or a response is not sent whole."""
@@ -146,17 +157,32 @@
         self._stream.abort()
         self._finish()
 
+    def reject_stalled(self) -> None:
+        """Give up a request that is received in part; it has not run."""
+        self._fail(HttpError(HTTPStatus.REQUEST_TIMEOUT, "the request stopped to come"))
+
     def _finish(self) -> None:
+        self._memory.resize_accepted(0)
         self._on_closed(self)
 
     def _cancel_open(self) -> None:
         self._phase = _Phase.CLOSED
         self._open.cancel()
+        self._clear_input()
+        self._update_held()
+
+    def _clear_input(self) -> None:
         self._input.clear()
+        self._memory.drop_received()
+
+    def _update_held(self) -> None:
+        held_bytes = self._open.held_bytes + self._stream.unsent_bytes
+        self._memory.resize_accepted(held_bytes)
 
     def sweep(self, now: float) -> None:
         """Close the connection if the timeout of its current state has expired."""
         stalled_s = self.stalled_s(now)
+        self._update_held()
         if self._stream.is_lost:
             self.abort()
         elif self._stream.unsent_bytes:
@@ -186,9 +212,19 @@
         if self.is_idle:
             self._state_since = time.monotonic()
         self._input.add(data)
-        if not self._input.is_deferred:
+        if self._input.is_deferred:
+            self._hold_received()
+        else:
             self._parse()
 
+    def _hold_received(self) -> None:
+        has_room = self._memory.receive(self._input.held_bytes)
+        if self._phase is not _Phase.OPEN:
+            # This request was given up to make room.
+            self._memory.drop_received()
+        elif not has_room:
+            self._fail(make_full_error())
+
     def _discard(self, size: int) -> None:
         self._discarded_bytes += size
         self._update_reading()
@@ -209,6 +245,8 @@
         if error is not None:
             self._fail(error)
             return
+        if self._phase is _Phase.OPEN:
+            self._hold_received()
         self._proceed()
 
     def _proceed(self) -> None:
@@ -217,11 +255,22 @@
             self._flush()
 
     def _accept(self, requests: list[Request]) -> None:
+        """Hold complete requests; those for which there is no room are rejected."""
+        if not requests:
+            return
+        received_bytes = self._memory.drop_received()
         for request in requests:
-            self._open.add(Exchange(request))
+            exchange = Exchange(request)
+            if self._memory.accept(exchange.held_bytes, received_bytes=received_bytes):
+                self._open.add(exchange)
+            else:
+                response = self._error_response(make_full_error())
+                self._open.add_rejected(exchange, response)
+            # The first request was the one that was received in part.
+            received_bytes = 0
             if not request.keep_alive:
                 self._phase = _Phase.ENDING
-                self._input.clear()
+                self._clear_input()
                 break
 
     def _fail(self, error: HttpError) -> None:
@@ -230,7 +279,7 @@
             return
         self._phase = _Phase.ENDING
         self._error = error
-        self._input.clear()
+        self._clear_input()
         self._proceed()
 
     def _start_handlers(self) -> None:
@@ -275,6 +324,7 @@
         if self._phase is _Phase.CLOSED:
             return
         self._open.complete(exchange, response)
+        self._update_held()
         self._flush()
         if self.held_bytes:
             self._on_held(len(response.body))
@@ -287,6 +337,7 @@
             if not self._send_response(*self._open.pop_complete()):
                 return
         self._start_handlers()
+        self._update_held()
         if self._open or self._sender.is_blocked:
             return
         if self._error is not None:
--- a/packages/endivebeam-http/src/endivebeam_http/_request_input.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_request_input.py
@@ -21,6 +21,8 @@
 SMALL_PART_BYTES = 512
 # Time for the turns of connections in one iteration of the event loop.
 TURNS_S = 0.002
+# Fewer bytes than this are no progress of a request.
+MIN_PROGRESS_BYTES = 4 << 10
 
 
 class RequestInput:
@@ -32,8 +34,14 @@
     def __init__(self, *, parser: RequestParser) -> None:
         self._parser = parser
         self._unparsed: deque[memoryview] = deque()
+        self._unparsed_bytes = 0
         self._part_bytes = PART_BYTES
         self._requests: list[Request] = []
+        self._received_bytes = 0
+        # Bytes received until the last progress; None for a request that was not looked
+        # at yet.
+        self._progress_bytes: int | None = None
+        self._progress_at = 0.0
         self.is_deferred = False
 
     @property
@@ -46,9 +54,16 @@
         """Whether no request is received in part."""
         return not (self._unparsed or self._parser.started)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of a request that is received in part, and those not parsed yet."""
+        return self._unparsed_bytes + self._parser.message_bytes
+
     def add(self, data: bytes) -> None:
         """Add received bytes."""
         self._unparsed.append(memoryview(data))
+        self._unparsed_bytes += len(data)
+        self._received_bytes += len(data)
 
     def parse(self) -> None:
         """Parse added bytes until the work of a turn is done.
@@ -60,7 +75,10 @@
         try:
             while self._unparsed and parser.work < last_work:
                 work = parser.work
-                self._requests += parser.feed(self._take_part())
+                requests = parser.feed(self._take_part())
+                if requests:
+                    self._requests += requests
+                    self._progress_bytes = None
                 self._adapt_part(parser.work - work)
         except HttpError:
             self._requests += parser.pop_complete()
@@ -74,13 +92,27 @@
     def clear(self) -> None:
         """Drop everything that is received."""
         self._unparsed.clear()
+        self._unparsed_bytes = 0
         self._parser.discard()
 
+    def stalled_s(self, now: float) -> float:
+        """Return for how long a request that is received in part has made no progress.
+
+        Times are seconds of a monotonic clock; ``now`` must not decrease.
+        """
+        before = self._progress_bytes
+        progress = self._received_bytes - (before or 0)
+        if self.is_empty or before is None or progress >= MIN_PROGRESS_BYTES:
+            self._progress_bytes = self._received_bytes
+            self._progress_at = now
+        return now - self._progress_at
+
     def _take_part(self) -> memoryview:
         first = self._unparsed.popleft()
         part = first[: self._part_bytes]
         if len(part) < len(first):
             self._unparsed.appendleft(first[self._part_bytes :])
+        self._unparsed_bytes -= len(part)
         return part
 
     def _adapt_part(self, work: int) -> None:
--- a/packages/endivebeam-http/tests/test_crowded_server.py
+++ b/packages/endivebeam-http/tests/test_crowded_server.py
@@ -1,4 +1,4 @@
-"""A server whose callers send much at once."""
+"""A server with more callers, or more bytes of them, than it has room for."""
 
 import socket
 from collections.abc import AsyncIterator
@@ -10,6 +10,7 @@
 
 from endivebeam_http import (
     Exchange,
+    MemoryBudget,
     PipelinedServer,
     Response,
     ResponseQueue,
@@ -17,24 +18,30 @@
     listen_tcp,
     plain_error_response,
 )
+from endivebeam_http import _pipeline as pipeline
 from endivebeam_http import _pipelined_connection as pipelined_connection
 
 pytestmark = pytest.mark.anyio
 TEST_TIMEOUT_S = 20.0
+BUDGET_BYTES = 1 << 20
+# Two of them are more than large requests may hold.
+LARGE_BYTES = 300 << 10
 TINY_CHUNK = b"1\r\na\r\n"
 CHUNKED = b"POST /slow HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
 class CrowdedServer:
-    """A server, and the requests that its handler got."""
+    """A server with a small budget, and the requests that its handler got."""
 
     def __init__(self, limits: ServerLimits) -> None:
+        self.budget = MemoryBudget(max_bytes=BUDGET_BYTES)
         self.handled: list[str] = []
         self.release = anyio.Event()
         self.server = PipelinedServer(
             handler=self.handle,
             error_response=plain_error_response,
             limits=limits,
+            budget=self.budget,
         )
         self.port = 0
 
@@ -77,13 +84,86 @@
     return response
 
 
+async def wait_until_held(crowded: CrowdedServer, size: int) -> None:
+    while crowded.budget.used_bytes < size:
+        await anyio.lowlevel.checkpoint()
+
+
+class TestMemory:
+    async def test_large_request_without_room_is_refused_and_small_ones_are_served(
+        self,
+    ):
+        """Guards against a node that runs out of memory for bodies."""
+        async with serve() as crowded, await crowded.connect() as first:
+            await first.send(encode("/wait", bytes(LARGE_BYTES)))
+            await wait_until_held(crowded, LARGE_BYTES)
+            refused = await crowded.call("/large", bytes(LARGE_BYTES))
+            assert refused.status == 503
+            assert (await crowded.call("/small", bytes(4000))).status == 200
+            crowded.release.set()
+            assert (await receive(first)).status == 200
+            assert crowded.handled == ["/wait", "/small"]
+
+    async def test_request_without_room_on_a_kept_connection_is_refused_in_order(self):
+        async with serve() as crowded, await crowded.connect() as stream:
+            crowded.budget.max_bytes = 0
+            await stream.send(encode("/a") + encode("/b"))
+            queue = ResponseQueue()
+            statuses = []
+            while len(statuses) < 2:
+                queue.feed(await stream.receive())
+                while (response := queue.pop()) is not None:
+                    statuses.append(response.status)
+            crowded.budget.max_bytes = BUDGET_BYTES
+            await stream.send(encode("/c"))
+            assert (await receive(stream)).status == 200
+            assert statuses == [503, 503]
+            assert crowded.handled == ["/c"]
+
+    async def test_request_that_has_stopped_makes_room(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against callers that hold the memory of a node and send no end."""
+        monkeypatch.setattr(pipeline, "STALL_S", 0.05)
+        monkeypatch.setattr(pipeline, "RECLAIM_PERIOD_S", 0.01)
+        body = bytes(LARGE_BYTES)
+        async with serve() as crowded, await crowded.connect() as stopped:
+            await stopped.send(encode("/stopped", body)[:-1])
+            await wait_until_held(crowded, LARGE_BYTES - 1)
+            statuses = []
+            while not statuses or statuses[-1] == 503:
+                statuses.append((await crowded.call("/large", body)).status)
+            assert statuses[-1] == 200
+            assert (await receive(stopped)).status == 408
+            assert set(crowded.handled) == {"/large"}
+
+    async def test_nothing_is_held_for_callers_that_have_left(self):
+        """Guards against bytes that are counted for ever."""
+        async with serve() as crowded:
+            streams = [await crowded.connect() for _ in range(6)]
+            await streams[0].send(encode("/wait", bytes(LARGE_BYTES)))
+            await streams[1].send(encode("/a", bytes(LARGE_BYTES))[:-1])
+            await streams[2].send(CHUNKED + TINY_CHUNK * 10_000)
+            await streams[3].send(encode("/a") * 700)
+            await streams[4].send(encode("/a")[:-2] + b"x-a: " + bytes([97]) * 9000)
+            await streams[5].send(encode("/wait") + b"nonsense\r\n\r\n")
+            while len(crowded.handled) < 3:
+                await anyio.lowlevel.checkpoint()
+            assert crowded.budget.used_bytes > LARGE_BYTES
+            for stream in streams:
+                await anyio.aclose_forcefully(stream)
+            while len(crowded.server):
+                await anyio.lowlevel.checkpoint()
+            assert crowded.budget.used_bytes == 0
+
+
 class TestTurns:
     async def test_long_work_for_one_caller_does_not_delay_others(self):
         """Guards against chunks of one byte that keep the loop from all others."""
         async with serve() as crowded, await crowded.connect() as slow:
+            crowded.budget.max_bytes = 64 << 20
             await slow.send(CHUNKED + TINY_CHUNK * 40_000 + b"0\r\n\r\n")
-            while not crowded.server.busy_connections:
-                await anyio.lowlevel.checkpoint()
+            await wait_until_held(crowded, 1)
             await crowded.call("/quick")
             while len(crowded.handled) < 2:
                 await anyio.lowlevel.checkpoint()
--- a/packages/endivebeam-http/tests/test_request_input.py
+++ b/packages/endivebeam-http/tests/test_request_input.py
@@ -9,6 +9,7 @@
 from endivebeam_http import HttpError, Request, RequestParser
 from endivebeam_http._request_input import (
     MAX_TURN_WORK,
+    MIN_PROGRESS_BYTES,
     SMALL_PART_BYTES,
     InputQueue,
     RequestInput,
@@ -98,6 +99,55 @@
         assert len(received.pop_requests()) == 2
 
 
+class TestHeldBytes:
+    def test_are_those_received_and_not_complete(self):
+        received = RequestInput(parser=RequestParser())
+        received.add(HEAD + TINY_CHUNK * 10)
+        received.parse()
+        assert 10 <= received.held_bytes <= len(HEAD) + 10 * len(TINY_CHUNK)
+        received.add(b"0\r\n\r\n")
+        received.parse()
+        assert received.held_bytes == 0
+
+    def test_nothing_is_left_after_clear(self):
+        received = RequestInput(parser=RequestParser())
+        received.add(HEAD + TINY_CHUNK * 20_000)
+        received.parse()
+        received.clear()
+        assert received.held_bytes == 0
+        assert received.is_empty
+
+
+class TestStall:
+    def test_begins_with_the_last_progress(self):
+        received = RequestInput(parser=RequestParser())
+        received.add(HEAD)
+        received.parse()
+        assert received.stalled_s(10.0) == 0.0
+        assert received.stalled_s(13.0) == 3.0
+
+    def test_a_byte_now_and_then_is_no_progress(self):
+        """Guards against callers that hold memory with a byte a second."""
+        received = RequestInput(parser=RequestParser())
+        received.add(HEAD)
+        for second in range(10):
+            received.add(TINY_CHUNK)
+            received.parse()
+            assert received.stalled_s(float(second)) == float(second)
+        received.add(b"%x\r\n%b\r\n" % (MIN_PROGRESS_BYTES, bytes(MIN_PROGRESS_BYTES)))
+        received.parse()
+        assert received.stalled_s(20.0) == 0.0
+
+    def test_of_an_earlier_request_does_not_count(self):
+        received = RequestInput(parser=RequestParser())
+        received.add(HEAD)
+        received.parse()
+        assert received.stalled_s(10.0) == 0.0
+        received.add(b"0\r\n\r\n" + HEAD)
+        received.parse()
+        assert received.stalled_s(50.0) == 0.0
+
+
 @pytest.mark.anyio
 class TestInputQueue:
     async def test_others_run_between_the_turns(self):
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/__init__.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/__init__.py
@@ -12,6 +12,7 @@
 from ._daemon import Sidecar
 from ._decisions import AttemptDetail, Decision, DecisionLog
 from ._logs import LineBudget, LineWriter, Logs, configure_logging, flush_forever
+from ._resources import Resources
 from ._settings import Bounds, HeaderNames, SidecarSettings
 
 __all__ = [
@@ -27,6 +28,7 @@
     "LineWriter",
     "Logs",
     "MemberReadResult",
+    "Resources",
     "Sidecar",
     "SidecarSettings",
     "StoreUnavailableError",
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -116,9 +116,11 @@
     def reject_malformed(self, error: HttpError) -> Response:
         """Return the response to bytes that are not a valid request."""
         logger.bind(status=int(error.status), reason=error.message).info(
-            "calls: A malformed request was rejected."
+            "calls: A request was rejected while it was received."
         )
         fields = [Field(b"content-type", b"text/plain")]
+        if error.retry_after_s is not None:
+            fields.append(_encode_retry_after(error.retry_after_s))
         body = error.message.encode() + b"\n"
         return Response(status=int(error.status), fields=fields, body=body)
 
@@ -275,8 +277,7 @@
         if call_id:
             fields.append(Field(self._settings.headers.call_id, call_id))
         if refusal.retry_after_s is not None:
-            value = f"{refusal.retry_after_s:.2f}".encode()
-            fields.append(Field(b"retry-after", value))
+            fields.append(_encode_retry_after(refusal.retry_after_s))
         return Response(status=refusal.status, fields=fields, body=refusal.to_json())
 
     def _log_disconnect(self, call_id: bytes, took_s: float) -> None:
@@ -305,6 +306,10 @@
         self._decisions.write(Decision.REQUEST_REJECTED, make_detail)
 
 
+def _encode_retry_after(seconds: float) -> Field:
+    return Field(b"retry-after", f"{seconds:.2f}".encode())
+
+
 def _read_key(request: Request) -> str | None:
     """Return the key of a request, or None if it carries none."""
     value = request.get(b"authorization") or b""
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -14,6 +14,7 @@
     Exchange,
     ExchangeHandler,
     LossDetection,
+    MemoryBudget,
     PipelinedServer,
     Response,
     ServerLimits,
@@ -48,6 +49,7 @@
 from ._metrics import SidecarMetrics
 from ._peer_calls import PeerCalls
 from ._planned_stop import finish_requests, start_planned_stop
+from ._resources import Resources, apply_resources
 from ._settings import SidecarSettings
 from ._state import FleetState
 from ._supervision import supervise
@@ -63,6 +65,7 @@
 LONG_LAG_S = 0.1
 # Maximum for each of the ports for announcements, readiness and metrics.
 MAX_CONTROL_CONNECTIONS = 64
+MAX_CONTROL_BODY_BYTES = 64 << 10
 PROCESS_TOKEN_BITS = 62
 
 
@@ -79,7 +82,9 @@
         decisions = decisions or make_null_log()
         self.settings = settings
         self.metrics = SidecarMetrics()
+        self._budget = MemoryBudget()
         self._limits = ServerLimits(max_connections=3000)
+        self.apply_resources(settings.resources)
         self._router = Router(
             local=settings.node_id,
             domain=settings.domain,
@@ -159,10 +164,15 @@
             handler=self._caller_handler.handle,
             error_response=self._caller_handler.reject_malformed,
             limits=self._limits,
+            budget=self._budget,
         )
         self._stopping = False
         self.is_listening = False
 
+    def apply_resources(self, resources: Resources) -> None:
+        """Bound what is held for others by what the machine has."""
+        apply_resources(resources, budget=self._budget, limits=self._limits)
+
     def announce(self, announcement: Announcement) -> None:
         """Process an announcement of the target."""
         self._target.announce(announcement)
@@ -237,7 +247,10 @@
         announcements: ExchangeHandler,
     ) -> None:
         settings = self.settings
-        control = ServerLimits(max_connections=MAX_CONTROL_CONNECTIONS)
+        control = ServerLimits(
+            max_connections=MAX_CONTROL_CONNECTIONS,
+            max_body_bytes=MAX_CONTROL_BODY_BYTES,
+        )
         tasks.start_soon(self._links.run, await _listen(settings.peers))
         # Callers may read slowly.
         callers = await _listen(
@@ -361,6 +374,7 @@
             self.metrics.running.set(load.running)
             self.metrics.waiting.set(load.waiting)
             self.metrics.held_bytes.set(self._caller_server.held_bytes)
+            self.metrics.budget_used.set(self._budget.used_bytes)
             self.metrics.members.set(len(self._fleet.directory))
             self.metrics.config_version.set(self._fleet.config_version)
             self.metrics.config_age.set(min(self.config_age_s, 3600.0))
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_metrics.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_metrics.py
@@ -41,6 +41,9 @@
         self.held_bytes = self._gauge(
             "held_response_bytes", "Bytes of responses that callers have not taken."
         )
+        self.budget_used = self._gauge(
+            "budget_used_bytes", "Bytes held for callers, targets and other nodes."
+        )
         self.members = self._gauge("members", "Nodes known and not gone.")
         self.config_version = self._gauge("config_version", "Version in force.")
         self.config_age = self._gauge(
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_settings.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_settings.py
@@ -4,6 +4,8 @@
 
 from endivebeam_model import Address, DomainName, NodeId, RegionName, ServiceName
 
+from ._resources import Resources
+
 
 class HeaderNames(msgspec.Struct, frozen=True, kw_only=True):
     """Names of the HTTP header fields that callers, nodes and targets exchange.
@@ -65,4 +67,5 @@
     first_incarnation: int = 1
     headers: HeaderNames = HeaderNames()
     bounds: Bounds = Bounds()
+    resources: Resources = Resources()
     log_level: str = "INFO"
--- a/tests/thistlegate/test_translation.py
+++ b/tests/thistlegate/test_translation.py
@@ -5,6 +5,7 @@
 
 from endivebeam_fleet import AccountUse, ConfigIndex, TargetPhase
 from endivebeam_model import Semantics
+from endivebeam_sidecar import Resources
 from thistlegate import (
     AnnouncementFormatError,
     ConfigFormatError,
@@ -171,3 +172,22 @@
     def test_malformed_announcements_raise(self, body: bytes):
         with pytest.raises(AnnouncementFormatError):
             read_announcement("i-1", body)
+
+
+class TestResources:
+    @staticmethod
+    def read(name: str, value: str) -> Resources:
+        text = f"{SETTINGS}localNode.limits.{name}={value}\n"
+        return read_settings(text).sidecar.resources
+
+    def test_are_those_of_the_settings(self):
+        assert self.read("memoryMb", "200").memory_bytes == 200_000_000
+
+    @pytest.mark.parametrize("value", ["", "0"])
+    def test_that_are_not_known_are_those_of_a_usual_machine(self, value: str):
+        assert self.read("memoryMb", value) == Resources()
+
+    @pytest.mark.parametrize("value", ["-1", "nan", "inf", "much"])
+    def test_that_are_no_sizes_are_an_error(self, value: str):
+        with pytest.raises(SettingsError, match="memoryMb"):
+            self.read("memoryMb", value)
