Give a connection its turn in each iteration, however late the loop is

With the loop late, no turn was taken in an iteration whose time was over before it began, and the test counted on the time of the machine. At least one turn is taken in each iteration now, and the test runs with just one, so that it counts iterations.

--- a/packages/endivebeam-http/src/endivebeam_http/_request_input.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_request_input.py
@@ -135,8 +135,10 @@
 
     def _run(self) -> None:
         ends_at = time.monotonic() + TURNS_S
-        while self._waiting and time.monotonic() < ends_at:
+        while self._waiting:
             self._waiting.popleft()()
+            if time.monotonic() >= ends_at:
+                break
         self._scheduled = bool(self._waiting)
         if self._scheduled:
             asyncio.get_running_loop().call_soon(self._run)
--- a/packages/endivebeam-http/tests/test_request_input.py
+++ b/packages/endivebeam-http/tests/test_request_input.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from endivebeam_http import HttpError, Request, RequestParser
+from endivebeam_http import _request_input as request_input
 from endivebeam_http._request_input import (
     MAX_TURN_WORK,
     MIN_PROGRESS_BYTES,
@@ -167,3 +168,15 @@
             await asyncio.sleep(0)
             await asyncio.sleep(0)
             assert turns > before
+
+    async def test_one_has_its_turn_in_each_iteration_however_slow(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        monkeypatch.setattr(request_input, "TURNS_S", 0.0)
+        queue = InputQueue()
+        taken: list[int] = []
+        for number in range(3):
+            queue.add(lambda number=number: taken.append(number))
+        for _ in range(4):
+            await asyncio.sleep(0)
+        assert taken == [0, 1, 2]
