Let silent connections make room for new ones

Cause: beyond a constant number of connections each new one was closed, whatever the others did. The number knew nothing of the descriptors of the machine.

Beyond that the connections make room that never sent a byte, the oldest first, then those on which no whole request came, then idle ones; never one with a request or an answer in progress. A 32nd of them at a time, so that a look at all of them serves many new ones.

--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from ._exchanges import ExchangeHandler
+from ._idle_connections import Candidate, choose_connections_to_close
 from ._limits import ServerLimits
 from ._memory import MemoryBudget
 from ._pipelined_connection import PipelinedConnection
@@ -22,13 +23,17 @@
 STALL_S = 1.0
 # Least time between two looks for such requests.
 RECLAIM_PERIOD_S = 0.1
+# Part of the connections that make room when there are too many, so that a look at all
+# of them serves many new ones.
+CLOSED_FRACTION = 1 / 32
 
 
 class PipelinedServer:
     """Serves pipelined connections.
 
-    A connection beyond ``limits.max_connections`` is closed at once. ``budget`` bounds
-    what is held for callers; a request for which there is no room is rejected.
+    Beyond ``limits.max_connections``, idle connections make room for new ones, first
+    those on which no whole request came. ``budget`` bounds what is held for callers;
+    a request for which there is no room is rejected.
     """
 
     def __init__(
@@ -108,6 +113,8 @@
             connection.end_intake()
 
     def _start(self, stream: TcpStream) -> None:
+        if len(self._connections) >= self._limits.max_connections:
+            self._close_idle()
         if len(self._connections) >= self._limits.max_connections:
             stream.abort()
             return
@@ -128,6 +135,21 @@
         self._connections.add(connection)
         connection.start()
 
+    def _close_idle(self) -> None:
+        """Close some idle connections to make room for new ones."""
+        now = time.monotonic()
+        candidates = [
+            Candidate(connection, connection.standing, connection.waited_s(now))
+            for connection in self._connections
+        ]
+        count = max(1, int(self._limits.max_connections * CLOSED_FRACTION))
+        closed = choose_connections_to_close(candidates, count=count)
+        for connection in closed:
+            connection.close()
+        logger.bind(closed=len(closed), max=self._limits.max_connections).warning(
+            "calls: Idle connections were closed to make room for new ones."
+        )
+
     def _reclaim(self) -> None:
         """Reject requests that stopped to come, because others find no room."""
         now = time.monotonic()
--- a/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
@@ -15,6 +15,7 @@
 
 from ._connection_memory import ConnectionMemory
 from ._exchanges import Exchange, ExchangeHandler, OpenExchanges
+from ._idle_connections import Standing
 from ._limits import ServerLimits
 from ._memory import MemoryBudget, make_full_error
 from ._messages import HttpError, Request, Response
@@ -90,12 +91,26 @@
         self._close_announced = False
         self._reading_paused = False
         self._discarded_bytes = 0
+        self._has_served = False
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being received or handled."""
         return not self._open and self._input.is_empty
 
+    @property
+    def standing(self) -> Standing:
+        """What the connection is worth when there are too many."""
+        if self._open or self._stream.unsent_bytes or self._phase is _Phase.ENDING:
+            return Standing.BUSY
+        if self._has_served:
+            return Standing.IDLE if self._input.is_empty else Standing.BUSY
+        return Standing.SILENT if self._input.is_empty else Standing.UNFINISHED
+
+    def waited_s(self, now: float) -> float:
+        """Return for how long the connection has been in its present state."""
+        return now - self._state_since
+
     def request_stalled_s(self, now: float) -> float:
         """Return for how long a request that is received in part has stopped."""
         if self._phase is not _Phase.OPEN or self._reading_paused:
@@ -258,6 +273,7 @@
         """Hold complete requests; those for which there is no room are rejected."""
         if not requests:
             return
+        self._has_served = True
         received_bytes = self._memory.drop_received()
         for request in requests:
             exchange = Exchange(request)
--- a/packages/endivebeam-http/tests/test_crowded_server.py
+++ b/packages/endivebeam-http/tests/test_crowded_server.py
@@ -198,3 +198,37 @@
             (connection,) = crowded.server._connections
             assert limit < connection._discarded_bytes < limit + (1 << 20)
             raw.close()
+
+
+class TestConnections:
+    async def test_silent_ones_make_room_for_new_ones(self):
+        """Guards against callers that keep all connections and say nothing."""
+        limits = ServerLimits(max_connections=10)
+        async with serve(limits) as crowded:
+            kept = await crowded.connect()
+            await kept.send(encode("/a"))
+            await receive(kept)
+            silent = [await crowded.connect() for _ in range(40)]
+            for _ in range(3):
+                assert (await crowded.call()).status == 200
+            await kept.send(encode("/a"))
+            assert (await receive(kept)).status == 200
+            assert len(crowded.server) <= limits.max_connections
+            for stream in (kept, *silent):
+                await anyio.aclose_forcefully(stream)
+
+    async def test_busy_ones_are_kept(self):
+        limits = ServerLimits(max_connections=2)
+        async with serve(limits) as crowded:
+            busy = [await crowded.connect() for _ in range(2)]
+            for stream in busy:
+                await stream.send(encode("/wait"))
+            while len(crowded.handled) < 2:
+                await anyio.lowlevel.checkpoint()
+            async with await crowded.connect() as refused:
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    await receive(refused)
+            crowded.release.set()
+            for stream in busy:
+                assert (await receive(stream)).status == 200
+                await stream.aclose()
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -83,7 +83,7 @@
         self.settings = settings
         self.metrics = SidecarMetrics()
         self._budget = MemoryBudget()
-        self._limits = ServerLimits(max_connections=3000)
+        self._limits = ServerLimits()
         self.apply_resources(settings.resources)
         self._router = Router(
             local=settings.node_id,
--- a/tests/thistlegate/test_translation.py
+++ b/tests/thistlegate/test_translation.py
@@ -182,6 +182,7 @@
 
     def test_are_those_of_the_settings(self):
         assert self.read("memoryMb", "200").memory_bytes == 200_000_000
+        assert self.read("maxFds", "600").descriptors == 600
 
     @pytest.mark.parametrize("value", ["", "0"])
     def test_that_are_not_known_are_those_of_a_usual_machine(self, value: str):
