Bound what a node holds for other nodes and for answers of its target

Cause: the bound stood at the first node only. A node held every call that others sent it for as long as it waited for the target, and each answer while it was read.

The budget of the node counts them now: a call without room is refused before it is recorded, so that also its sender's question for a lost reply is answered "did not arrive"; an answer without room ends its call as unknown, never as not run.

The loops of the daemon that observe it move to a module of their own.

--- a/packages/endivebeam-http/src/endivebeam_http/_target_client.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_target_client.py
@@ -13,6 +13,7 @@
 
 from ._client import NotSentError
 from ._loss_detection import LossDetection
+from ._memory import HeldBytes, MemoryBudget, Purpose
 from ._messages import MAX_BODY_BYTES, ConnectionLostError, HttpError, Response
 from ._responses import ResponseQueue
 from ._transport import TcpStream
@@ -45,9 +46,14 @@
     """One connection to a target; ``is_new`` is true until the first exchange."""
 
     def __init__(
-        self, *, stream: TcpStream, max_body_bytes: int = MAX_BODY_BYTES
+        self,
+        *,
+        stream: TcpStream,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._stream = stream
+        self._received = HeldBytes(budget or MemoryBudget())
         self._queue = ResponseQueue(max_body_bytes=max_body_bytes)
         self._loop = asyncio.get_running_loop()
         self._waiter: asyncio.Future[Response] | None = None
@@ -97,6 +103,7 @@
         finally:
             timer.cancel()
             self._waiter = None
+            self._received.resize(0)
         self._update_keep_alive(response)
         # A target may respond before it has read a long body; the connection cannot be
         # reused while the rest of the body is unsent.
@@ -141,6 +148,9 @@
         except HttpError as error:
             self._fail(error)
             return
+        if not self._received.grow(self._queue.message_bytes, Purpose.ANSWER):
+            self._fail(ConnectionLostError("no memory is left for the response"))
+            return
         self._match_responses()
 
     def _on_end(self, error: Exception | None) -> None:
@@ -196,12 +206,20 @@
 
 
 class TargetPool:
-    """A pool of connections to one target; reuses the last released one first."""
+    """A pool of connections to one target; reuses the last released one first.
+
+    ``budget`` bounds what is held of responses that are received in part.
+    """
 
     def __init__(
-        self, *, connect: Connect, max_body_bytes: int = MAX_BODY_BYTES
+        self,
+        *,
+        connect: Connect,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._connect = connect
+        self._budget = budget
         self._max_body_bytes = max_body_bytes
         self._idle: list[TargetConnection] = []
 
@@ -227,7 +245,9 @@
                 stream = await self._connect()
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"no connection to the target: {error}") from error
-        return TargetConnection(stream=stream, max_body_bytes=self._max_body_bytes)
+        return TargetConnection(
+            stream=stream, max_body_bytes=self._max_body_bytes, budget=self._budget
+        )
 
     def release(self, connection: TargetConnection) -> None:
         """Return a connection to the pool after its exchange."""
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -1,8 +1,8 @@
 """A node: its parts, its ports, and the order of start and stop."""
 
-import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from functools import partial
 from http import HTTPStatus
 
 import anyio
@@ -47,6 +47,7 @@
 from ._links import LinkLostError, LinkNotOpenError, Links
 from ._lost_replies import KeptReplies
 from ._metrics import SidecarMetrics
+from ._observation import count_stream_bytes, measure_lag
 from ._peer_calls import PeerCalls
 from ._planned_stop import finish_requests, start_planned_stop
 from ._resources import Resources, apply_resources
@@ -60,9 +61,6 @@
 # Part of the time for a planned stop that is reserved for closing connections.
 STOP_MARGIN_S = 1.0
 GAUGE_PERIOD_S = 2.0
-LAG_PERIOD_S = 1.0
-# A delay of the event loop that callers notice.
-LONG_LAG_S = 0.1
 # Maximum for each of the ports for announcements, readiness and metrics.
 MAX_CONTROL_CONNECTIONS = 64
 MAX_CONTROL_BODY_BYTES = 64 << 10
@@ -102,11 +100,13 @@
             metrics=self.metrics,
             on_change=self._update_own_record,
             decisions=decisions,
+            budget=self._budget,
         )
         process_token = random.getrandbits(PROCESS_TOKEN_BITS)
         self._peer_calls = PeerCalls(
             target=self._target,
             kept_replies=KeptReplies(process_token=process_token),
+            budget=self._budget,
         )
         self._unreachable = UnreachableNodes()
         self._links = Links(
@@ -224,13 +224,15 @@
         async with anyio.create_task_group() as tasks:
             await self._listen(tasks, announcements)
             self.is_listening = True
-            for loop in (
+            loops: tuple[Callable[[], Awaitable[None]], ...] = (
                 *self._control.loops,
                 self._allowances.run,
                 self._probe_down_targets,
                 self._update_gauges,
-                self._measure_lag,
-            ):
+                partial(count_stream_bytes, self._links, self._budget),
+                partial(measure_lag, self.metrics),
+            )
+            for loop in loops:
                 tasks.start_soon(supervise, loop)
             logger.bind(
                 service=self.settings.service, domain=self.settings.domain
@@ -379,18 +381,6 @@
             self.metrics.config_version.set(self._fleet.config_version)
             self.metrics.config_age.set(min(self.config_age_s, 3600.0))
 
-    async def _measure_lag(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            due = loop.time() + LAG_PERIOD_S
-            await anyio.sleep(LAG_PERIOD_S)
-            lag_s = max(0.0, loop.time() - due)
-            self.metrics.loop_lag.observe(lag_s)
-            if lag_s > LONG_LAG_S:
-                logger.bind(lag_ms=int(lag_s * 1000)).warning(
-                    "node: The event loop was blocked."
-                )
-
 
 async def _listen(
     address: Address, *, loss_detection: LossDetection = LossDetection.UNTAKEN_DATA
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
@@ -88,6 +88,12 @@
         streams = {*self._streams.values(), *self._accepted}
         return sum(stream.unsent_bytes for stream in streams)
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that wait to be sent, and of messages received in part."""
+        streams = {*self._streams.values(), *self._accepted}
+        return sum(stream.held_bytes for stream in streams)
+
     async def send_request(
         self,
         member: Member,
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_peer_calls.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_peer_calls.py
@@ -6,19 +6,34 @@
 
 from loguru import logger
 
+from endivebeam_http import (
+    REQUEST_OVERHEAD_BYTES,
+    HeldBytes,
+    MemoryBudget,
+    get_request_purpose,
+)
 from endivebeam_wire import ForwardReply, ForwardRequest, OutcomeQuery
 
 from ._lost_replies import KeptReplies
 from ._replies import make_rejection, make_unknown
 from ._target import LocalTarget
 
+FULL_RETRY_AFTER_S = 0.5
+
 
 class PeerCalls:
     """Runs calls of other nodes, and keeps the outcomes of at-most-once calls."""
 
-    def __init__(self, *, target: LocalTarget, kept_replies: KeptReplies) -> None:
+    def __init__(
+        self,
+        *,
+        target: LocalTarget,
+        kept_replies: KeptReplies,
+        budget: MemoryBudget | None = None,
+    ) -> None:
         self._target = target
         self._kept_replies = kept_replies
+        self._budget = budget or MemoryBudget()
         self.in_progress = 0
 
     async def run(self, call: ForwardRequest) -> ForwardReply:
@@ -28,7 +43,7 @@
         the target.
         """
         with self._count():
-            return await self._run(call)
+            return await self._run_in_budget(call)
 
     async def find_outcome(self, query: OutcomeQuery) -> ForwardReply:
         """Return the outcome of an at-most-once call once it has ended."""
@@ -43,6 +58,23 @@
         finally:
             self.in_progress -= 1
 
+    async def _run_in_budget(self, call: ForwardRequest) -> ForwardReply:
+        """Run a call if there is room for it; other nodes are not trusted to stop."""
+        held = HeldBytes(self._budget)
+        size = REQUEST_OVERHEAD_BYTES + len(call.body)
+        if not held.grow(size, get_request_purpose(size)):
+            return make_rejection(
+                call,
+                "the node has no memory left for the call",
+                self._target.load,
+                wait_s=FULL_RETRY_AFTER_S,
+                leaving=False,
+            )
+        try:
+            return await self._run(call)
+        finally:
+            held.resize(0)
+
     async def _run(self, call: ForwardRequest) -> ForwardReply:
         if not self._kept_replies.begin(call):
             return make_rejection(
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target.py
@@ -21,6 +21,7 @@
 from endivebeam_http import (
     ConnectionLostError,
     HttpError,
+    MemoryBudget,
     MismatchedResponseError,
     NotSentError,
     Response,
@@ -78,8 +79,10 @@
         metrics: SidecarMetrics,
         on_change: Callable[[], None],
         decisions: DecisionLog,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._decisions = decisions
+        self._budget = budget
         self._headers = headers
         self._metrics = metrics
         self._on_change = on_change
@@ -125,7 +128,7 @@
             or before.born_ms != announcement.born_ms
             or (before.instance != announcement.instance)
         ):
-            self._lifetime = start_lifetime(announcement)
+            self._lifetime = start_lifetime(announcement, budget=self._budget)
             # A target that is older than this process may have named a limit before.
             is_new = before is not None or announcement.cold_left_s > 0
             self._notices.start_lifetime(self._lifetime, confirmed=is_new)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target_lifetime.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_target_lifetime.py
@@ -5,7 +5,13 @@
 from loguru import logger
 
 from endivebeam_fleet import Announcement
-from endivebeam_http import Connect, TargetConnection, TargetPool, connect_stream
+from endivebeam_http import (
+    Connect,
+    MemoryBudget,
+    TargetConnection,
+    TargetPool,
+    connect_stream,
+)
 from endivebeam_model import Address
 
 from ._clock import read_clock
@@ -58,9 +64,11 @@
             )
 
 
-def start_lifetime(announcement: Announcement) -> TargetLifetime:
+def start_lifetime(
+    announcement: Announcement, *, budget: MemoryBudget | None = None
+) -> TargetLifetime:
     """Return a new lifetime of the target, without connections yet."""
-    pool = TargetPool(connect=_make_connect(announcement.address))
+    pool = TargetPool(connect=_make_connect(announcement.address), budget=budget)
     return TargetLifetime(announcement.instance, pool)
 
 
--- a/packages/endivebeam-sidecar/tests/test_target.py
+++ b/packages/endivebeam-sidecar/tests/test_target.py
@@ -69,6 +69,18 @@
         return self.target.make_response(request)
 
 
+def make_announcement(port: int, *, slots: int) -> Announcement:
+    return Announcement(
+        instance="i-1",
+        address=Address("127.0.0.1", port),
+        service=ServiceName("stock"),
+        slots=slots,
+        phase=TargetPhase.READY,
+        born_ms=1,
+        sequence=1,
+    )
+
+
 def make_local_target(
     port: int, *, slots: int = 1, decisions: DecisionLog | None = None
 ) -> LocalTarget:
@@ -78,17 +90,7 @@
         on_change=lambda: None,
         decisions=decisions or make_null_log(),
     )
-    target.announce(
-        Announcement(
-            instance="i-1",
-            address=Address("127.0.0.1", port),
-            service=ServiceName("stock"),
-            slots=slots,
-            phase=TargetPhase.READY,
-            born_ms=1,
-            sequence=1,
-        )
-    )
+    target.announce(make_announcement(port, slots=slots))
     return target
 
 
--- a/packages/endivebeam-wire/src/endivebeam_wire/_codec.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_codec.py
@@ -40,6 +40,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes of a message that is received in part."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Message]:
         """Add received bytes and return the messages that they complete.
 
--- a/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
@@ -116,6 +116,11 @@
         """Number of bytes that the kernel has not accepted yet."""
         return self._transport.unsent_bytes
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes to be sent and of a message that is received in part."""
+        return self._transport.unsent_bytes + self._reader.buffered_bytes
+
     def next_id(self) -> int:
         """Return a request id that was not used on this stream before."""
         return self._pending_requests.next_id()
--- a/tests/thistlegate/test_crowds.py
+++ b/tests/thistlegate/test_crowds.py
@@ -7,6 +7,7 @@
 """
 
 import os
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -121,6 +122,28 @@
 }
 
 
+# A crowd of well-behaved nodes: together they send a node more than it may hold.
+ENTRIES = 3
+ENTRY_MEMORY_MB = 1000
+ENTRY_CROWD_SIZE = 100
+SECOND_CROWDS = {
+    "whole bodies": Crowd(
+        size=ENTRY_CROWD_SIZE,
+        head=make_head(
+            "POST", WAIT.path, key=CROWD_KEY, extra=[f"content-length: {BODY_BYTES}"]
+        ),
+        part=bytes(CHUNK_BYTES),
+        parts=16,
+    ),
+    "long responses": Crowd(
+        size=ENTRY_CROWD_SIZE,
+        part=make_head("GET", HUGE.path, key=CROWD_KEY),
+        parts=10,
+        pause_s=0.5,
+    ),
+}
+
+
 def make_plan() -> Plan:
     """Return a deployment with small machines; one of its targets is slow."""
     target = TargetConfig(slots=32, work_s=0.01)
@@ -140,6 +163,31 @@
     )
 
 
+def make_second_plan() -> Plan:
+    """Return a deployment whose entry nodes may hold far more than the others.
+
+    Their targets serve many calls at once.
+    """
+    plan = make_plan()
+    wide = TargetConfig(slots=200, work_s=0.5, constant_work=True)
+    wide_and_slow = TargetConfig(slots=200, work_s=4.0, constant_work=True)
+    return msgspec.structs.replace(
+        plan,
+        services={"bookings": ENTRIES, "catalogue": 1, "deliveries": 1},
+        target_configs={
+            **plan.target_configs,
+            "catalogue": wide,
+            "deliveries": wide_and_slow,
+        },
+        service_settings={
+            "bookings": {
+                "localNode.limits.memoryMb": f"{ENTRY_MEMORY_MB}",
+                "localNode.limits.maxFds": "4100",
+            }
+        },
+    )
+
+
 async def send_ordinary_request(deployment: Deployment) -> Outcome:
     """Send a request of a client inside the limits where the crowd is."""
     entry = next(m for m in deployment.machines if m.service == "bookings")
@@ -225,6 +273,36 @@
         assert find_excess(findings) == []
 
 
+@pytest.mark.anyio
+@pytest.mark.process
+class TestSecondNodes:
+    @pytest.mark.parametrize("crowd", SECOND_CROWDS.values(), ids=SECOND_CROWDS)
+    async def test_stay_inside_their_limits_on_their_own(self, crowd: Crowd):
+        """Guards against a node that holds all that well-behaved nodes send it."""
+        async with run_deployment(make_second_plan(), seed=1) as deployment:
+            entries = [m for m in deployment.machines if m.service == "bookings"]
+            async with anyio.create_task_group() as tasks:
+                async with anyio.create_task_group() as joining:
+                    for entry in entries:
+                        joining.start_soon(
+                            partial(join_crowd, crowd, entry, tasks, send_s=SEND_S)
+                        )
+                await anyio.sleep(STAY_S)
+                outcome = await send_ordinary_request(deployment)
+                tasks.cancel_scope.cancel()
+            memory_mb = {
+                name: node.read_memory_mb()
+                for name, node in deployment.nodes.items()
+                if node.machine.service != "bookings" and node.pid
+            }
+            exits = {name: node.exits for name, node in deployment.nodes.items()}
+        findings = Findings(
+            exits=exits, memory_mb=memory_mb, descriptors={}, outcome=outcome
+        )
+        print(findings)
+        assert find_excess(findings) == []
+
+
 class TestBounds:
     def test_descriptors_of_this_process_hold_the_crowds(self):
         """Guards against a crowd that is smaller than it is meant to be."""
