Apply changed resources of the machine at SIGHUP

The file may change while the process runs; SIGHUP was only logged, so a node would have kept the bounds of a machine that it no longer had. A file that is not usable changes nothing and is logged.

Tests: test_translation.py, TestReload.

--- a/tests/thistlegate/test_translation.py
+++ b/tests/thistlegate/test_translation.py
@@ -1,5 +1,7 @@
 """Tests of the parsers of the platform's settings, documents and announcements."""
 
+from pathlib import Path
+
 import msgspec
 import pytest
 
@@ -13,6 +15,7 @@
     read_announcement,
     read_config_document,
     read_settings,
+    reload_resources,
 )
 
 SETTINGS = """\
@@ -192,3 +195,24 @@
     def test_that_are_no_sizes_are_an_error(self, value: str):
         with pytest.raises(SettingsError, match="memoryMb"):
             self.read("memoryMb", value)
+
+
+class TestReload:
+    def test_applies_the_resources_of_the_changed_file(self, tmp_path: Path):
+        path = tmp_path / "settings.conf"
+        path.write_text(f"{SETTINGS}localNode.limits.memoryMb=64\n")
+        applied: list[Resources] = []
+        reload_resources(path, applied.append)
+        assert [r.memory_bytes for r in applied] == [64_000_000]
+
+    @pytest.mark.parametrize("content", [b"", b"nonsense", b"\xff\xfe", None])
+    def test_changes_nothing_if_the_file_is_not_usable(
+        self, tmp_path: Path, content: bytes | None
+    ):
+        """Guards against a changed file that ends the process."""
+        path = tmp_path / "settings.conf"
+        if content is not None:
+            path.write_bytes(content)
+        applied: list[Resources] = []
+        reload_resources(path, applied.append)
+        assert applied == []
