--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_resources.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_resources.py
@@ -12,7 +12,7 @@
 # Open connections may take this part of the budget on top of it.
 CONNECTION_FRACTION = 0.5
 # A node with less memory than it needs for itself may hold this part of it.
-MIN_BUDGET_FRACTION = 1 / 8
+MIN_BUDGET_FRACTION = 1 / 16
 # Part of the budget for responses that callers don't take.
 RESPONSE_FRACTION = 0.5
 # Descriptors that the platform reserves for files.
--- a/packages/endivebeam-sidecar/tests/test_resources.py
+++ b/packages/endivebeam-sidecar/tests/test_resources.py
@@ -24,7 +24,7 @@
 
 
 class TestBudget:
-    @pytest.mark.parametrize("memory_mb", [96, 128, 200, 300, 552, 4000])
+    @pytest.mark.parametrize("memory_mb", [64, 96, 128, 200, 300, 552, 4000])
     def test_leaves_room_for_the_node_itself(self, memory_mb: int):
         """Guards against limits that together are more than the machine has."""
         resources = Resources(memory_bytes=memory_mb * MEGABYTE, descriptors=8192)
