Hold little for a peer that has not greeted

A first message may have 4 KiB now, and 256 streams may be without a greeting; a node opens one at a time to another.

Tests that failed before: test_direct.py, test_long_first_message_is_not_held, and test_links.py, TestGreeting.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
@@ -26,6 +26,8 @@
 # closed if it still receives nothing.
 PROBE_AFTER_S = 0.4
 HEARTBEAT_TIMEOUT_S = 1.2
+# Accepted streams whose peer has not greeted; a node opens one at a time to another.
+MAX_UNGREETED_STREAMS = 256
 
 
 class LinkNotOpenError(Exception):
@@ -164,6 +166,10 @@
         )
 
     async def _accept(self, raw: TcpStream) -> None:
+        ungreeted = sum(stream.remote is None for stream in self._accepted)
+        if ungreeted >= MAX_UNGREETED_STREAMS:
+            raw.abort()
+            return
         stream = self._wrap(raw)
         self._accepted.add(stream)
         try:
--- a/packages/endivebeam-sidecar/tests/test_links.py
+++ b/packages/endivebeam-sidecar/tests/test_links.py
@@ -5,6 +5,7 @@
 
 from endivebeam_http import TaskSet, connect_stream, listen_tcp
 from endivebeam_model import DomainName, NodeId
+from endivebeam_sidecar import _links as links_module
 from endivebeam_sidecar._links import Links
 from endivebeam_wire import (
     SIDECAR_PROTOCOL_VERSION,
@@ -83,3 +84,47 @@
                     await connect_stream("127.0.0.1", port)
                 release.set()
         await tasks_of_peer.close()
+
+
+class TestGreeting:
+    async def test_silent_streams_are_few_and_a_node_that_greets_is_served(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against anyone that opens streams to a node and says nothing."""
+        monkeypatch.setattr(links_module, "MAX_UNGREETED_STREAMS", 3)
+
+        async def echo(node_id: NodeId, request: Request) -> Reply:
+            return HeartbeatEcho(request_id=request.request_id)
+
+        links = Links(
+            local=make_hello("served"),
+            handle_request=echo,
+            on_unreachable=lambda node_id: None,
+            on_reached=lambda node_id: None,
+        )
+        listener = await listen_tcp("127.0.0.1", 0)
+        tasks_of_peer = TaskSet()
+        with anyio.fail_after(WAIT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(links.run, listener)
+                stream = DirectStream(
+                    transport=await connect_stream("127.0.0.1", listener.port),
+                    handle_request=echo,
+                    local=make_hello("peer"),
+                    spawn=tasks_of_peer.spawn,
+                    on_closed=lambda stream: None,
+                )
+                await stream.handshake()
+                silent = [
+                    await connect_stream("127.0.0.1", listener.port) for _ in range(5)
+                ]
+                while sum(s.has_ended for s in silent) < 2:
+                    await anyio.lowlevel.checkpoint()
+                request = Heartbeat(request_id=stream.next_id())
+                assert isinstance(await stream.send_request(request), HeartbeatEcho)
+                assert sum(s.has_ended for s in silent) == 2
+                for raw in silent:
+                    raw.abort()
+                stream.close()
+                tasks.cancel_scope.cancel()
+        await tasks_of_peer.close()
--- a/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
@@ -15,6 +15,8 @@
 HELLO_TIMEOUT_S = 2.0
 MAX_UNSENT_BYTES = 8 << 20
 MAX_REQUESTS = 4096
+# A peer that has not greeted may be anyone.
+MAX_HELLO_BYTES = 4 << 10
 
 # One set lookup per message; an isinstance check would try each type of the union.
 _REQUEST_TYPES = frozenset(get_args(Request))
@@ -181,6 +183,9 @@
                 self._process_hello(message)
             else:
                 self._dispatch(message)
+        if self.remote is None and self._reader.buffered_bytes > MAX_HELLO_BYTES:
+            self._fail_handshake(FrameError("the first message is too long"))
+            self.close()
 
     def _process_hello(self, message: Message) -> None:
         if not isinstance(message, Hello):
--- a/packages/endivebeam-wire/tests/test_direct.py
+++ b/packages/endivebeam-wire/tests/test_direct.py
@@ -326,3 +326,14 @@
         assert harness.closed == 1
         for task in harness.tasks:
             task.cancel()
+
+    async def test_long_first_message_is_not_held(self):
+        """Guards against anyone that sends a node long messages without a greeting."""
+        harness = StreamHarness()
+        handshake_task = asyncio.ensure_future(harness.stream.handshake())
+        await settle()
+        harness.transport.deliver_bytes((1 << 20).to_bytes(4) + bytes(64 << 10))
+        with pytest.raises(FrameError):
+            await handshake_task
+        assert harness.transport.aborted
+        assert harness.closed == 1
