Keep room for small requests beside bodies and unread responses together

Found on reading the change again: large requests could fill half of the budget and unread responses half, so two crowds together left none to ordinary requests, which may fill 85% now beside 40% and 30%. The ports for announcements, readiness and metrics had the default budget of 64 MiB each; they have 2 MiB of their own. What is rejected while it is received is counted by status.

--- a/packages/endivebeam-http/src/endivebeam_http/_memory.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_memory.py
@@ -21,8 +21,8 @@
     a small request finds room beside large ones, and an answer beside requests.
     """
 
-    LARGE_REQUEST = 0.5
-    SMALL_REQUEST = 0.75
+    LARGE_REQUEST = 0.4
+    SMALL_REQUEST = 0.85
     ANSWER = 1.0
 
 
@@ -30,7 +30,7 @@
     """Return what the bytes of a request of a size are held for.
 
     >>> get_request_purpose(1000)
-    <Purpose.SMALL_REQUEST: 0.75>
+    <Purpose.SMALL_REQUEST: 0.85>
     """
     if size > SMALL_REQUEST_BYTES:
         return Purpose.LARGE_REQUEST
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_callers.py
@@ -118,6 +118,7 @@
         logger.bind(status=int(error.status), reason=error.message).info(
             "calls: A request was rejected while it was received."
         )
+        self._metrics.rejected_input.labels(status=str(int(error.status))).inc()
         fields = [Field(b"content-type", b"text/plain")]
         if error.retry_after_s is not None:
             fields.append(_encode_retry_after(error.retry_after_s))
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -64,6 +64,8 @@
 # Maximum for each of the ports for announcements, readiness and metrics.
 MAX_CONTROL_CONNECTIONS = 64
 MAX_CONTROL_BODY_BYTES = 64 << 10
+# Of each port, apart from the budget for calls, so that callers can't use it up.
+CONTROL_BUDGET_BYTES = 2 << 20
 PROCESS_TOKEN_BITS = 62
 
 
@@ -252,6 +254,7 @@
         control = ServerLimits(
             max_connections=MAX_CONTROL_CONNECTIONS,
             max_body_bytes=MAX_CONTROL_BODY_BYTES,
+            max_held_bytes=CONTROL_BUDGET_BYTES // 2,
         )
         tasks.start_soon(self._links.run, await _listen(settings.peers))
         # Callers may read slowly.
@@ -268,6 +271,7 @@
                 handler=handler,
                 error_response=self._caller_handler.reject_malformed,
                 limits=control,
+                budget=MemoryBudget(max_bytes=CONTROL_BUDGET_BYTES),
             )
             tasks.start_soon(server.serve, await _listen(address))
 
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_metrics.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_metrics.py
@@ -30,6 +30,12 @@
             "Calls to the local target that nobody waited for any more.",
             registry=self.registry,
         )
+        self.rejected_input = Counter(
+            "endivebeam_rejected_input",
+            "Requests rejected while they were received, by status.",
+            ["status"],
+            registry=self.registry,
+        )
         self.loop_lag = Histogram(
             "endivebeam_loop_lag_seconds",
             "How late the event loop ran a timer, sampled twice a second.",
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_resources.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_resources.py
@@ -13,8 +13,9 @@
 CONNECTION_FRACTION = 0.5
 # A node with less memory than it needs for itself may hold this part of it.
 MIN_BUDGET_FRACTION = 1 / 16
-# Part of the budget for responses that callers don't take.
-RESPONSE_FRACTION = 0.5
+# Part of the budget for responses that callers don't take. Together with the part for
+# large requests it leaves room for small ones.
+RESPONSE_FRACTION = 0.3
 # Descriptors that the platform reserves for files.
 FILE_DESCRIPTORS = 200
 # The others serve targets, nodes, the store, readiness and control.
--- a/packages/endivebeam-sidecar/tests/test_resources.py
+++ b/packages/endivebeam-sidecar/tests/test_resources.py
@@ -45,6 +45,15 @@
         )
         assert limits.max_held_bytes <= budget.max_bytes
 
+    def test_large_requests_and_unread_responses_leave_room_for_small_requests(self):
+        """Guards against two crowds that together shut out ordinary requests."""
+        limits = ServerLimits()
+        budget = MemoryBudget()
+        apply_resources(Resources(), budget=budget, limits=limits)
+        large_bytes = int(budget.max_bytes * Purpose.LARGE_REQUEST.value)
+        budget.used_bytes = large_bytes + limits.max_held_bytes
+        assert budget.admits(budget.max_bytes // 10, Purpose.SMALL_REQUEST)
+
 
 class TestConnections:
     @pytest.mark.parametrize("descriptors", [300, 600, 4100, 8192])
--- a/tests/thistlegate/test_crowds.py
+++ b/tests/thistlegate/test_crowds.py
@@ -188,7 +188,9 @@
     )
 
 
-async def send_ordinary_request(deployment: Deployment) -> Outcome:
+async def send_ordinary_request(
+    deployment: Deployment, *, body_bytes: int = ORDINARY_BODY_BYTES
+) -> Outcome:
     """Send a request of a client inside the limits where the crowd is."""
     entry = next(m for m in deployment.machines if m.service == "bookings")
     workload = Workload(
@@ -197,7 +199,7 @@
         key=KEY,
         rate_per_s=0.0,
         budget_s=ORDINARY_BUDGET_S,
-        body_bytes=ORDINARY_BODY_BYTES,
+        body_bytes=body_bytes,
     )
     await deployment.load.request(workload, entry)
     return deployment.records.attempts[-1].outcome
@@ -303,6 +305,16 @@
         assert find_excess(findings) == []
 
 
+@pytest.mark.anyio
+@pytest.mark.process
+class TestCalm:
+    async def test_largest_body_is_served(self):
+        """Guards against bounds that a client inside the limits meets."""
+        async with run_deployment(make_plan(), seed=1) as deployment:
+            outcome = await send_ordinary_request(deployment, body_bytes=BODY_BYTES)
+        assert outcome is Outcome.ANSWERED
+
+
 class TestBounds:
     def test_descriptors_of_this_process_hold_the_crowds(self):
         """Guards against a crowd that is smaller than it is meant to be."""
