--- a/tests/thistlegate/test_store.py
+++ b/tests/thistlegate/test_store.py
@@ -92,6 +92,49 @@
                 await store.watch_config(0, wait_s=1)
 
 
+class TestRestoredStore:
+    """The store comes back from a copy that is some seconds old."""
+
+    async def test_answers_tell_its_era(self):
+        async with run_store() as (server, store):
+            eras = []
+            for _ in range(2):
+                response = await store._call("GET", "/rows-get?table=op", b"")
+                eras.append(response.get(b"store-era"))
+                server.restore(server.tables.copy())
+            assert eras == [b"1", b"2"]
+
+    async def test_watch_from_a_version_that_it_lost_raises(
+        self, document: dict[str, object]
+    ):
+        async with run_store() as (server, store):
+            copy = server.tables.copy()
+            server.tables.put(CONFIG_ROW, encode_row(document))
+            first = await store.read_config()
+            server.restore(copy)
+            with pytest.raises(HistoryLostError):
+                await store.watch_config(first.position, wait_s=1)
+
+    async def test_change_is_not_missed_when_versions_are_given_out_again(
+        self, document: dict[str, object]
+    ):
+        """Guards against a withdrawn key that is used on evidence of an earlier era."""
+        async with run_store() as (server, store):
+            copy = server.tables.copy()
+            server.tables.put(CONFIG_ROW, encode_row(document))
+            first = await store.read_config()
+            server.restore(copy)
+            server.tables.put(CONFIG_ROW, encode_row({**document, "version": "0d"}))
+            await store.write_member(make_member())
+            assert server.tables.version > first.position
+            try:
+                second = await store.watch_config(first.position, wait_s=0.05)
+            except HistoryLostError:
+                second = await store.read_config()
+            assert second.config is not None
+            assert second.config.version == 13
+
+
 class TestMembers:
     async def test_rows_are_written_read_and_removed_only_at_their_version(self):
         async with run_store() as (_, store):
