Count header fields as work of a turn

Only messages and chunks counted as work, so a turn brought 16 such requests, and each field costs a callback, a check and a copy.

Test that failed before: test_request_input.py, test_has_few_requests_with_many_fields.

--- a/packages/endivebeam-http/src/endivebeam_http/_parsers.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_parsers.py
@@ -20,7 +20,7 @@
 MAX_FEED_BYTES = 16 << 10
 # Size line and line ends of a chunk without extensions.
 CHUNK_FRAMING_BYTES = 16
-# Work for a message, in that for a chunk.
+# Work for a message, in that for a field or a chunk.
 MESSAGE_WORK = 8
 
 
@@ -32,8 +32,8 @@
     line, fields, blank lines, interim responses, sizes and extensions of chunks. A
     message may have ``max_header_bytes`` and ``MAX_TARGET_BYTES`` of them.
 
-    ``work`` rises with the number of messages and chunks, which cost far more than
-    their bytes.
+    ``work`` rises with the number of messages, fields and chunks, which cost far more
+    than their bytes.
     """
 
     def __init__(
@@ -81,6 +81,7 @@
 
     def _complete_header(self, version: str) -> None:
         self._header_complete = True
+        self.work += len(self._fields)
         check_version(version)
         self._index = check_header(
             self._fields,
--- a/packages/endivebeam-http/src/endivebeam_http/_request_input.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_request_input.py
@@ -17,7 +17,7 @@
 MAX_TURN_WORK = 128
 PART_BYTES = 2 << 10
 # After a part with more work than this, the next one is small.
-MAX_PART_WORK = 16
+MAX_PART_WORK = 32
 SMALL_PART_BYTES = 512
 # Time for the turns of connections in one iteration of the event loop.
 TURNS_S = 0.002
--- a/packages/endivebeam-http/tests/test_request_input.py
+++ b/packages/endivebeam-http/tests/test_request_input.py
@@ -19,6 +19,7 @@
 TINY_CHUNK = b"1\r\na\r\n"
 HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
 SHORT = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+MANY_FIELDS = SHORT[:-2] + b"".join(b"x-%d: a\r\n" % n for n in range(90)) + b"\r\n"
 READ_BYTES = 256 << 10
 # The last part of a turn may bring this much work more.
 MAX_LAST_WORK = 1 << 10
@@ -45,8 +46,12 @@
 class TestTurn:
     @pytest.mark.parametrize(
         "data",
-        [HEAD + TINY_CHUNK * (READ_BYTES // len(TINY_CHUNK)), SHORT * 9000],
-        ids=["chunks of one byte", "many requests"],
+        [
+            HEAD + TINY_CHUNK * (READ_BYTES // len(TINY_CHUNK)),
+            SHORT * 9000,
+            MANY_FIELDS * 400,
+        ],
+        ids=["chunks of one byte", "many requests", "many fields"],
     )
     def test_has_bounded_work_however_much_was_read(self, data: bytes):
         """Guards against one connection that keeps the loop from all others."""
@@ -99,6 +104,13 @@
             received.parse()
         assert len(received.pop_requests()) == 2
 
+    def test_has_few_requests_with_many_fields(self):
+        """Guards against heads whose fields keep the loop from other connections."""
+        received = RequestInput(parser=RequestParser())
+        received.add(MANY_FIELDS * 400)
+        received.parse()
+        assert len(received.pop_requests()) <= 4
+
 
 class TestHeldBytes:
     def test_are_those_received_and_not_complete(self):
