Hold the heads of requests as their bodies

A trial with 400 callers that each send 30 whole requests with heads of 15 kB for a slow target (x86-64, beside plays) reached 100 MB on machines of 96: a whole request counted as 4 KiB and its body, whatever its head. The head counts now, at the second node too: 53 MB.

A request had its room while it was received, so only what came on top since is looked at when it is whole; the slack for its last bytes rested on heads that didn't count.

Tests that failed before: test_crowded_server.py, test_heads_are_held_as_bodies_are. The crowd `requests with long heads at once` of test_crowds.py used 96 MB of 96 and 58 since.

--- a/packages/endivebeam-http/src/endivebeam_http/_connection_memory.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_connection_memory.py
@@ -2,12 +2,7 @@
 
 from collections.abc import Callable
 
-from ._memory import (
-    REQUEST_OVERHEAD_BYTES,
-    HeldBytes,
-    MemoryBudget,
-    get_request_purpose,
-)
+from ._memory import HeldBytes, MemoryBudget, get_request_purpose
 
 
 class ConnectionMemory:
@@ -34,20 +29,18 @@
     def accept(self, size: int, *, received_bytes: int) -> bool:
         """Hold a complete request on top; return whether there is room.
 
-        A request of which ``received_bytes`` were held until now always has room.
+        One of which ``received_bytes`` were held until now counts as large only if it
+        has grown much since: it had its room while it was received.
         """
         total = self._accepted.size + size
-        if 0 < received_bytes >= size - REQUEST_OVERHEAD_BYTES:
-            self._accepted.resize(total)
-            return True
-        return self._grow(self._accepted, total, size)
+        return self._grow(self._accepted, total, size - received_bytes)
 
     def resize_accepted(self, size: int) -> None:
         """Hold this many bytes of requests and responses, whether there is room."""
         self._accepted.resize(size)
 
-    def _grow(self, held: HeldBytes, size: int, request_bytes: int) -> bool:
-        purpose = get_request_purpose(request_bytes)
+    def _grow(self, held: HeldBytes, size: int, further_bytes: int) -> bool:
+        purpose = get_request_purpose(further_bytes)
         if held.grow(size, purpose):
             return True
         self._on_full()
--- a/packages/endivebeam-http/src/endivebeam_http/_exchanges.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_exchanges.py
@@ -25,11 +25,18 @@
 
     def __init__(self, request: Request) -> None:
         self.request = request
-        self.held_bytes = REQUEST_OVERHEAD_BYTES + len(request.body)
+        self.held_bytes = (
+            REQUEST_OVERHEAD_BYTES + _measure_head(request) + len(request.body)
+        )
         self.response: Response | None = None
         self.task: asyncio.Task[None] | None = None
 
 
+def _measure_head(request: Request) -> int:
+    fields_bytes = sum(len(name) + len(value) for name, value in request.fields)
+    return len(request.target) + fields_bytes
+
+
 ExchangeHandler = Callable[[Exchange], Awaitable[Response]]
 
 
--- a/packages/endivebeam-http/tests/test_crowded_server.py
+++ b/packages/endivebeam-http/tests/test_crowded_server.py
@@ -121,6 +121,17 @@
             assert statuses == [503, 503]
             assert crowded.handled == ["/c"]
 
+    async def test_heads_are_held_as_bodies_are(self):
+        """Guards against requests whose long heads cost nothing."""
+        head_bytes = 10_000
+        async with serve() as crowded, await crowded.connect() as stream:
+            long_head = encode("/wait")[:-2] + b"x-a: " + bytes([97]) * head_bytes
+            await stream.send((long_head + b"\r\n\r\n") * 5)
+            while len(crowded.handled) < 5:
+                await anyio.lowlevel.checkpoint()
+            assert crowded.budget.used_bytes > 5 * head_bytes
+            crowded.release.set()
+
     async def test_request_that_has_stopped_makes_room(
         self, monkeypatch: pytest.MonkeyPatch
     ):
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_peer_calls.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_peer_calls.py
@@ -61,7 +61,8 @@
     async def _run_in_budget(self, call: ForwardRequest) -> ForwardReply:
         """Run a call if there is room for it; other nodes are not trusted to stop."""
         held = HeldBytes(self._budget)
-        size = REQUEST_OVERHEAD_BYTES + len(call.body)
+        head_bytes = len(call.path) + len(call.encoded_fields)
+        size = REQUEST_OVERHEAD_BYTES + head_bytes + len(call.body)
         if not held.grow(size, get_request_purpose(size)):
             return make_rejection(
                 call,
--- a/tests/thistlegate/test_crowds.py
+++ b/tests/thistlegate/test_crowds.py
@@ -108,6 +108,11 @@
         part=make_head("GET", LOOK.path, key=CROWD_KEY) * 512,
         parts=4,
     ),
+    "requests with long heads at once": Crowd(
+        size=400,
+        part=make_head("GET", WAIT.path, key=CROWD_KEY, extra=["x-a: " + 15_000 * "a"]),
+        parts=30,
+    ),
     "long responses that are not read": Crowd(
         size=40,
         part=make_head("GET", HUGE.path, key=CROWD_KEY),
