--- a/packages/endivebeam-sidecar/tests/test_links.py
+++ b/packages/endivebeam-sidecar/tests/test_links.py
@@ -13,6 +13,7 @@
     Heartbeat,
     HeartbeatEcho,
     Hello,
+    NodeRequestHandler,
     Reply,
     Request,
 )
@@ -30,6 +31,15 @@
     )
 
 
+def make_links(name: str, handle_request: NodeRequestHandler) -> Links:
+    return Links(
+        local=make_hello(name),
+        handle_request=handle_request,
+        on_unreachable=lambda node_id: None,
+        on_reached=lambda node_id: None,
+    )
+
+
 class TestEnd:
     async def test_no_stream_is_accepted_while_requests_end(self):
         """Guards against a node that serves its peers after it has ended.
@@ -48,12 +58,7 @@
                     await release.wait()
             return HeartbeatEcho(request_id=request.request_id)
 
-        links = Links(
-            local=make_hello("ending"),
-            handle_request=end_slowly,
-            on_unreachable=lambda node_id: None,
-            on_reached=lambda node_id: None,
-        )
+        links = make_links("ending", end_slowly)
         listener = await listen_tcp("127.0.0.1", 0)
         port = listener.port
         scope = anyio.CancelScope()
@@ -96,12 +101,7 @@
         async def echo(node_id: NodeId, request: Request) -> Reply:
             return HeartbeatEcho(request_id=request.request_id)
 
-        links = Links(
-            local=make_hello("served"),
-            handle_request=echo,
-            on_unreachable=lambda node_id: None,
-            on_reached=lambda node_id: None,
-        )
+        links = make_links("served", echo)
         listener = await listen_tcp("127.0.0.1", 0)
         tasks_of_peer = TaskSet()
         with anyio.fail_after(WAIT_S):
--- a/tests/thistlegate/test_crowds.py
+++ b/tests/thistlegate/test_crowds.py
@@ -132,19 +132,11 @@
 ENTRY_MEMORY_MB = 1000
 ENTRY_CROWD_SIZE = 100
 SECOND_CROWDS = {
-    "whole bodies": Crowd(
-        size=ENTRY_CROWD_SIZE,
-        head=make_head(
-            "POST", WAIT.path, key=CROWD_KEY, extra=[f"content-length: {BODY_BYTES}"]
-        ),
-        part=bytes(CHUNK_BYTES),
-        parts=16,
+    "whole bodies": msgspec.structs.replace(
+        CROWDS["whole bodies for a slow target"], size=ENTRY_CROWD_SIZE
     ),
-    "long responses": Crowd(
-        size=ENTRY_CROWD_SIZE,
-        part=make_head("GET", HUGE.path, key=CROWD_KEY),
-        parts=10,
-        pause_s=0.5,
+    "long responses": msgspec.structs.replace(
+        CROWDS["long responses that are not read"], size=ENTRY_CROWD_SIZE
     ),
 }
 
