Count unsent replies at once, and drop an answer without room at once

Two seams, found by reading. Replies that wait on a stream were counted four times a second, so that in between answers went on to be read for up to 8 MB on each stream. And an answer that finds no room failed its call, but what had come of it stayed until the task of the call ran, after the event loop had read all other connections of that iteration, up to 256 KiB each.

A stream now reports what it holds after each message that it sends, and an answer without room is dropped and its connection closed where it is found.

Tests: test_target_client.py, test_answer_without_room_is_dropped_at_once failed before; test_peer_memory.py, TestStreams needs the new argument.

--- a/packages/endivebeam-http/src/endivebeam_http/_parsers.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_parsers.py
@@ -59,6 +59,11 @@
         """Bytes of the message that is received in part."""
         return self._overhead_bytes + len(self._body)
 
+    def discard(self) -> None:
+        """Drop the message that is received in part; nothing may be fed after it."""
+        self._overhead_bytes = 0
+        self._start_message()
+
     def _start_message(self) -> None:
         self._fields = []
         self._header_complete = False
@@ -174,10 +179,9 @@
 
     def discard(self) -> None:
         """Drop the request that is received in part; nothing may be fed after it."""
-        self._overhead_bytes = 0
+        super().discard()
         self.started = False
         self.expects_continue = False
-        self._start_message()
 
     def pop_complete(self) -> list[Request]:
         """Return and remove the complete requests that were not returned yet."""
--- a/packages/endivebeam-http/src/endivebeam_http/_responses.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_responses.py
@@ -71,6 +71,13 @@
             self._until_close = False
             self._complete(keep_alive=False)
 
+    def discard(self) -> None:
+        """Drop all responses; nothing may be fed after it."""
+        super().discard()
+        self.broken = True
+        self._until_close = False
+        self._completed.clear()
+
     def pop(self) -> Response | None:
         """Remove and return the next complete response, or None."""
         return self._completed.popleft() if self._completed else None
--- a/packages/endivebeam-http/src/endivebeam_http/_target_client.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_target_client.py
@@ -149,7 +149,10 @@
             self._fail(error)
             return
         if not self._received.grow(self._queue.message_bytes, Purpose.ANSWER):
+            # At once: the exchange ends only when all other connections were read.
             self._fail(ConnectionLostError("no memory is left for the response"))
+            self._queue.discard()
+            self.close()
             return
         self._match_responses()
 
--- a/packages/endivebeam-http/tests/test_target_client.py
+++ b/packages/endivebeam-http/tests/test_target_client.py
@@ -11,11 +11,14 @@
 from endivebeam_http import (
     ConnectionLostError,
     HttpError,
+    MemoryBudget,
     MismatchedResponseError,
     NotSentError,
     Response,
     TargetPool,
+    TcpStream,
     connect_stream,
+    listen_tcp,
 )
 from endivebeam_http import _loss_detection as loss_detection
 
@@ -288,3 +291,31 @@
         assert response.body == b"whole"
         # The rest of the body is unsent, so the connection cannot be reused.
         assert connection.closed
+
+
+class TestMemory:
+    async def test_answer_without_room_is_dropped_at_once(self):
+        """Guards against parts of many answers that stay until each exchange ends."""
+        budget = MemoryBudget(max_bytes=64 << 10)
+
+        async def answer(stream: TcpStream) -> None:
+            await stream.receive()
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n"
+            await stream.send(head + bytes(500_000))
+            await anyio.sleep_forever()
+
+        listener = await listen_tcp("127.0.0.1", 0)
+        port = listener.port
+        pool = TargetPool(
+            connect=lambda: connect_stream("127.0.0.1", port), budget=budget
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, answer)
+            connection = await pool.acquire(at_most_once=False)
+            with pytest.raises(ConnectionLostError, match="memory"):
+                await connection.exchange(
+                    REQUEST, head_only=False, matches=lambda _: True, timeout_s=10.0
+                )
+            assert connection._queue.message_bytes == 0
+            assert budget.used_bytes == 0
+            tasks.cancel_scope.cancel()
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -122,6 +122,7 @@
             handle_request=self._handle_peer_request,
             on_unreachable=self._handle_unreachable,
             on_reached=self._unreachable.remove,
+            budget=self._budget,
         )
         bounds = settings.bounds
         self._control = Control(
@@ -231,7 +232,7 @@
                 self._allowances.run,
                 self._probe_down_targets,
                 self._update_gauges,
-                partial(count_stream_bytes, self._links, self._budget),
+                partial(count_stream_bytes, self._links),
                 partial(measure_lag, self.metrics),
             )
             for loop in loops:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_links.py
@@ -6,7 +6,14 @@
 import anyio
 from loguru import logger
 
-from endivebeam_http import TaskSet, TcpListener, TcpStream, connect_stream
+from endivebeam_http import (
+    HeldBytes,
+    MemoryBudget,
+    TaskSet,
+    TcpListener,
+    TcpStream,
+    connect_stream,
+)
 from endivebeam_model import Member, NodeId
 from endivebeam_wire import (
     DirectStream,
@@ -49,7 +56,7 @@
     """One stream to each node that this node communicates with.
 
     ``on_unreachable`` is called when a node cannot be connected to or stops replying,
-    ``on_reached`` when a stream to it was opened.
+    ``on_reached`` when a stream to it was opened. ``budget`` counts what they hold.
     """
 
     def __init__(
@@ -59,7 +66,9 @@
         handle_request: NodeRequestHandler,
         on_unreachable: Callable[[NodeId], None],
         on_reached: Callable[[NodeId], None],
+        budget: MemoryBudget | None = None,
     ) -> None:
+        self._budget = budget or MemoryBudget()
         self._local = local
         self._handle_request = handle_request
         self._on_unreachable = on_unreachable
@@ -90,11 +99,10 @@
         streams = {*self._streams.values(), *self._accepted}
         return sum(stream.unsent_bytes for stream in streams)
 
-    @property
-    def held_bytes(self) -> int:
-        """Number of bytes that wait to be sent, and of messages received in part."""
-        streams = {*self._streams.values(), *self._accepted}
-        return sum(stream.held_bytes for stream in streams)
+    def update_held(self) -> None:
+        """Count anew what all streams hold."""
+        for stream in {*self._streams.values(), *self._accepted}:
+            stream.report_held()
 
     async def send_request(
         self,
@@ -163,6 +171,7 @@
             local=self._local,
             spawn=self._tasks.spawn,
             on_closed=self._remove_stream,
+            on_held=HeldBytes(self._budget).resize,
         )
 
     async def _accept(self, raw: TcpStream) -> None:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_observation.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_observation.py
@@ -5,8 +5,6 @@
 import anyio
 from loguru import logger
 
-from endivebeam_http import HeldBytes, MemoryBudget
-
 from ._links import Links
 from ._metrics import SidecarMetrics
 
@@ -30,15 +28,8 @@
             )
 
 
-async def count_stream_bytes(links: Links, budget: MemoryBudget) -> None:
-    """Hold in a budget what the streams to other nodes hold, until cancelled.
-
-    The kernel takes bytes of a stream at any time, so they are counted now and then.
-    """
-    held = HeldBytes(budget)
-    try:
-        while True:
-            await anyio.sleep(STREAM_BYTES_PERIOD_S)
-            held.resize(links.held_bytes)
-    finally:
-        held.resize(0)
+async def count_stream_bytes(links: Links) -> None:
+    """Count now and then what the streams hold, as the kernel takes it at any time."""
+    while True:
+        await anyio.sleep(STREAM_BYTES_PERIOD_S)
+        links.update_held()
--- a/packages/endivebeam-sidecar/tests/test_links.py
+++ b/packages/endivebeam-sidecar/tests/test_links.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from endivebeam_http import TaskSet, connect_stream, listen_tcp
+from endivebeam_http import MemoryBudget, TaskSet, connect_stream, listen_tcp
 from endivebeam_model import DomainName, NodeId
 from endivebeam_sidecar import _links as links_module
 from endivebeam_sidecar._links import Links
@@ -31,12 +31,15 @@
     )
 
 
-def make_links(name: str, handle_request: NodeRequestHandler) -> Links:
+def make_links(
+    name: str, handle_request: NodeRequestHandler, budget: MemoryBudget | None = None
+) -> Links:
     return Links(
         local=make_hello(name),
         handle_request=handle_request,
         on_unreachable=lambda node_id: None,
         on_reached=lambda node_id: None,
+        budget=budget,
     )
 
 
--- a/packages/endivebeam-sidecar/tests/test_peer_memory.py
+++ b/packages/endivebeam-sidecar/tests/test_peer_memory.py
@@ -13,19 +13,31 @@
     PipelinedServer,
     Response,
     ServerLimits,
+    TaskSet,
+    connect_stream,
     listen_tcp,
     plain_error_response,
 )
-from endivebeam_model import Semantics
+from endivebeam_model import NodeId, Semantics
 from endivebeam_sidecar._decisions import make_null_log
 from endivebeam_sidecar._lost_replies import KeptReplies
 from endivebeam_sidecar._metrics import SidecarMetrics
 from endivebeam_sidecar._peer_calls import PeerCalls
 from endivebeam_sidecar._settings import HeaderNames
 from endivebeam_sidecar._target import LocalTarget
-from endivebeam_wire import ForwardOutcome, ForwardReply, OutcomeQuery
+from endivebeam_wire import (
+    DirectStream,
+    ForwardOutcome,
+    ForwardReply,
+    Heartbeat,
+    OutcomeQuery,
+    Reply,
+    TargetLoad,
+)
+from endivebeam_wire import Request as WireRequest
 
 from ._fleet import FakeTarget, Request
+from .test_links import make_hello, make_links
 from .test_target import make_announcement, make_call, wait_until
 
 pytestmark = pytest.mark.anyio
@@ -115,6 +127,47 @@
         assert node.fake.received == []
 
 
+class TestStreams:
+    async def test_replies_that_are_not_sent_are_held_at_once(self):
+        """Guards against answers that are read while earlier ones wait to be sent."""
+        budget = MemoryBudget(max_bytes=BUDGET_BYTES)
+        body = bytes(BODY_BYTES // 2)
+
+        async def answer(node_id: NodeId, request: WireRequest) -> Reply:
+            return ForwardReply(
+                request_id=request.request_id,
+                outcome=ForwardOutcome.ANSWERED,
+                load=TargetLoad(0, 0, 1, False, 0.0),
+                status=200,
+                body=body,
+            )
+
+        links = make_links("served", answer, budget)
+        listener = await listen_tcp("127.0.0.1", 0)
+        tasks_of_peer = TaskSet()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(links.run, listener)
+            raw = await connect_stream("127.0.0.1", listener.port)
+            stream = DirectStream(
+                transport=raw,
+                handle_request=answer,
+                local=make_hello("peer"),
+                spawn=tasks_of_peer.spawn,
+                on_closed=lambda stream: None,
+            )
+            await stream.handshake()
+            raw.pause()
+            for _ in range(40):
+                request = Heartbeat(request_id=stream.next_id())
+                tasks_of_peer.spawn(stream.send_request(request))
+            # Nothing counts the bytes now and then here.
+            await wait_until(lambda: budget.used_bytes > 2 * BODY_BYTES)
+            stream.close()
+            await wait_until(lambda: budget.used_bytes == 0)
+            tasks.cancel_scope.cancel()
+        await tasks_of_peer.close()
+
+
 class TestAnswers:
     async def test_without_room_end_as_unknown_and_the_next_is_whole(self):
         """Guards against a node that runs out of memory for answers of its target."""
@@ -123,6 +176,7 @@
             node.budget.max_bytes = BODY_BYTES // 2
             node.released.set()
             assert (await node.send(1)).outcome is ForwardOutcome.UNKNOWN
+            assert node.budget.used_bytes == 0
             node.budget.max_bytes = BUDGET_BYTES
             reply = await node.send(2)
             assert reply.outcome is ForwardOutcome.ANSWERED
--- a/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
@@ -63,7 +63,8 @@
     """One connection between two nodes that carries many requests at once.
 
     Reads and writes need no tasks; only requests of the remote side are served in
-    tasks, which ``spawn`` starts. ``on_closed`` is called once at the end.
+    tasks, which ``spawn`` starts. ``on_closed`` is called once at the end, ``on_held``
+    with the number of bytes that the stream holds after each message that it sends.
     ``last_received_at`` is the event loop's time when data last arrived.
     """
 
@@ -75,12 +76,14 @@
         local: Hello,
         spawn: Spawn,
         on_closed: Callable[["DirectStream"], None],
+        on_held: Callable[[int], None] = lambda size: None,
     ) -> None:
         self._transport = transport
         self._handle_request = handle_request
         self._local = local
         self._spawn = spawn
         self._on_closed = on_closed
+        self._on_held = on_held
         self._loop = asyncio.get_running_loop()
         self._reader = FrameReader()
         self._pending_requests = PendingRequests(max_pending=MAX_REQUESTS)
@@ -123,6 +126,10 @@
         """Number of bytes to be sent and of a message that is received in part."""
         return self._transport.unsent_bytes + self._reader.buffered_bytes
 
+    def report_held(self) -> None:
+        """Call ``on_held``; the kernel takes bytes at any time, without an event."""
+        self._on_held(0 if self.closed else self.held_bytes)
+
     def next_id(self) -> int:
         """Return a request id that was not used on this stream before."""
         return self._pending_requests.next_id()
@@ -166,6 +173,7 @@
         for task in list(self._serving_tasks.values()):
             task.cancel()
         self._pending_requests.fail_all()
+        self._on_held(0)
         self._on_closed(self)
 
     def _process_data(self, data: bytes) -> None:
@@ -264,3 +272,4 @@
         except Exception as error:
             self.close()
             raise StreamLostError("stream broke while sending") from error
+        self.report_held()
