--- a/packages/endivebeam-http/src/endivebeam_http/_memory.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_memory.py
@@ -10,7 +10,7 @@
 REQUEST_OVERHEAD_BYTES = 4 << 10
 # A request with more bytes than this counts as large.
 SMALL_REQUEST_BYTES = 32 << 10
-# Requests that stopped to come are given up by then.
+# Requests that stopped arriving are given up by then.
 FULL_RETRY_AFTER_S = 1.0
 
 
--- a/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipeline.py
@@ -19,7 +19,7 @@
 SWEEP_PERIOD_S = 1.0
 # Part of the limit by which the held bytes may grow between two looks at all of them.
 HELD_CHECK_FRACTION = 1 / 8
-# A request that has stopped to come for this long is given up if there is no room.
+# A request that has stopped arriving for this long is given up if there is no room.
 STALL_S = 1.0
 # Least time between two looks for such requests.
 RECLAIM_PERIOD_S = 0.1
@@ -32,7 +32,7 @@
     """Serves pipelined connections.
 
     Beyond ``limits.max_connections``, idle connections make room for new ones, first
-    those on which no whole request came. ``budget`` bounds what is held for callers;
+    those on which no whole request arrived. ``budget`` bounds what is held for callers;
     a request for which there is no room is rejected.
     """
 
@@ -151,7 +151,7 @@
         )
 
     def _reclaim(self) -> None:
-        """Reject requests that stopped to come, because others find no room."""
+        """Reject requests that stopped arriving, because others find no room."""
         now = time.monotonic()
         if now - self._reclaimed_at < RECLAIM_PERIOD_S:
             return
--- a/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
@@ -174,7 +174,9 @@
 
     def reject_stalled(self) -> None:
         """Give up a request that is received in part; it has not run."""
-        self._fail(HttpError(HTTPStatus.REQUEST_TIMEOUT, "the request stopped to come"))
+        self._fail(
+            HttpError(HTTPStatus.REQUEST_TIMEOUT, "the request stopped arriving")
+        )
 
     def _finish(self) -> None:
         self._memory.resize_accepted(0)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_peer_calls.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_peer_calls.py
@@ -59,7 +59,7 @@
             self.in_progress -= 1
 
     async def _run_in_budget(self, call: ForwardRequest) -> ForwardReply:
-        """Run a call if there is room for it; other nodes are not trusted to stop."""
+        """Run a call if there is room for it, whatever its sender has checked."""
         held = HeldBytes(self._budget)
         head_bytes = len(call.path) + len(call.encoded_fields)
         size = REQUEST_OVERHEAD_BYTES + head_bytes + len(call.body)
