Log again that a connection has too many open requests

The line got lost, unmentioned, when the open exchanges moved to a module of their own. Found on reading the change once more. No test looks at it; the tests of the package pass.

--- a/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_pipelined_connection.py
@@ -321,6 +321,10 @@
         self._reading_paused = pause
         if pause:
             self._stream.pause()
+            if self._open.is_full:
+                logger.bind(open=len(self._open)).info(
+                    "calls: A connection has too many open requests; reading is paused."
+                )
         else:
             self._stream.resume()
 
