One set-up for the tests of a restored store; a true comment

A request's head counts beside its overhead since, which the constant's comment did not say. A closing stream reports what it holds by the function that does so elsewhere.

--- a/packages/endivebeam-http/src/endivebeam_http/_memory.py
+++ b/packages/endivebeam-http/src/endivebeam_http/_memory.py
@@ -6,7 +6,7 @@
 from ._messages import HttpError
 
 DEFAULT_BUDGET_BYTES = 64 << 20
-# Bytes that a request takes besides its body: header fields, tasks and timers.
+# Bytes that a request takes besides its head and body: objects, tasks and timers.
 REQUEST_OVERHEAD_BYTES = 4 << 10
 # A request with more bytes than this counts as large.
 SMALL_REQUEST_BYTES = 32 << 10
--- a/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_direct.py
@@ -173,7 +173,7 @@
         for task in list(self._serving_tasks.values()):
             task.cancel()
         self._pending_requests.fail_all()
-        self._on_held(0)
+        self.report_held()
         self._on_closed(self)
 
     def _process_data(self, data: bytes) -> None:
--- a/tests/thistlegate/test_store.py
+++ b/tests/thistlegate/test_store.py
@@ -92,6 +92,17 @@
                 await store.watch_config(0, wait_s=1)
 
 
+async def lose_config(
+    server: StoreServer, store: PlatformStore, document: dict[str, object]
+) -> int:
+    """Restore the store from before a configuration; return where it was read."""
+    copy = server.tables.copy()
+    server.tables.put(CONFIG_ROW, encode_row(document))
+    first = await store.read_config()
+    server.restore(copy)
+    return first.position
+
+
 class TestRestoredStore:
     """The store comes back from a copy that is some seconds old."""
 
@@ -108,27 +119,21 @@
         self, document: dict[str, object]
     ):
         async with run_store() as (server, store):
-            copy = server.tables.copy()
-            server.tables.put(CONFIG_ROW, encode_row(document))
-            first = await store.read_config()
-            server.restore(copy)
+            position = await lose_config(server, store, document)
             with pytest.raises(HistoryLostError):
-                await store.watch_config(first.position, wait_s=1)
+                await store.watch_config(position, wait_s=1)
 
     async def test_change_is_not_missed_when_versions_are_given_out_again(
         self, document: dict[str, object]
     ):
         """Guards against a withdrawn key that is used on evidence of an earlier era."""
         async with run_store() as (server, store):
-            copy = server.tables.copy()
-            server.tables.put(CONFIG_ROW, encode_row(document))
-            first = await store.read_config()
-            server.restore(copy)
+            position = await lose_config(server, store, document)
             server.tables.put(CONFIG_ROW, encode_row({**document, "version": "0d"}))
             await store.write_member(make_member())
-            assert server.tables.version > first.position
+            assert server.tables.version > position
             try:
-                second = await store.watch_config(first.position, wait_s=0.05)
+                second = await store.watch_config(position, wait_s=0.05)
             except HistoryLostError:
                 second = await store.read_config()
             assert second.config is not None
