--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -77,7 +77,15 @@
 class Node:
     """The process of a node, started with the command of the deploy file."""
 
-    def __init__(self, machine: Machine, store: str, folder: Path, log: Record) -> None:
+    def __init__(
+        self,
+        machine: Machine,
+        store: str,
+        folder: Path,
+        log: Record,
+        *,
+        is_first: bool,
+    ) -> None:
         self.machine = machine
         self.started_at = 0.0
         self._log = log
@@ -85,7 +93,7 @@
         self._process: subprocess.Popen[bytes] | None = None
         self._settings = folder / f"{machine.name}.conf"
         self._store = store
-        self._first = True
+        self._first = is_first
 
     def start(self) -> None:
         """Start the process."""
@@ -252,12 +260,23 @@
         await self.store.start(f"{self._prefix}.0.1", STORE_PORT)
         self.store.write_config(document)
 
-    def add_node(self, name: str, service: str, zone: str = "scot-central-a") -> Node:
-        """Add a machine and start its node."""
+    def add_node(
+        self,
+        name: str,
+        service: str,
+        *,
+        zone: str = "scot-central-a",
+        is_first: bool = True,
+    ) -> Node:
+        """Add a machine and start its node.
+
+        ``is_first`` tells that the whole system starts for the first time.
+        """
         ip = f"{self._prefix}.1.{len(self.machines) + 1}"
         machine = self.machines[name] = Machine(name, service, zone, ip)
         store = f"{self._prefix}.0.1:{STORE_PORT}"
-        node = self.nodes[name] = Node(machine, store, self._folder, self.log)
+        node = Node(machine, store, self._folder, self.log, is_first=is_first)
+        self.nodes[name] = node
         node.start()
         return node
 
@@ -364,7 +383,7 @@
         try:
             for ip, port in [
                 (f"{prefix}.0.1", STORE_PORT),
-                *((f"{prefix}.1.{n}", port) for n in range(1, 5) for port in PORTS),
+                *((f"{prefix}.1.{n}", port) for n in range(1, 9) for port in PORTS),
             ]:
                 with socket.socket() as probe:
                     probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
