--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_reader.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_reader.py
@@ -106,9 +106,7 @@
                 wait_s=0.0 if begins else self._times.watch_s, timeout_s=timeout_s
             )
         except HistoryLostError:
-            logger.info(
-                "store: The change history has expired; reading the whole state."
-            )
+            logger.info("store: The changes are not available; reading all again.")
             sent_at = read_clock()
             result = await self._store.read_config(timeout_s=timeout_s)
         self._log_era(result.position)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_control_store.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_control_store.py
@@ -13,7 +13,11 @@
 
 
 class HistoryLostError(StoreUnavailableError):
-    """The store no longer has the changes that follow the given position."""
+    """The store no longer has the changes that follow the given position.
+
+    It has discarded them, or it came back from an older copy since and gives out
+    the versions after the position again.
+    """
 
 
 class ConfigReadResult(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/thistlegate/test_restored_store.py
+++ b/tests/thistlegate/test_restored_store.py
@@ -19,6 +19,7 @@
     request_everywhere,
     run_deployment,
 )
+from thistlegate_standin._tables import RowName
 
 SEED = 1
 KEY = "key-of-fit"
@@ -30,8 +31,11 @@
 IN_FORCE_S = 2.2
 WITHDRAWN_S = 5.2
 RESTARTED_S = 20.0
+# Longer than a watch, so that all readers have read up to the newest version.
+READ_S = 1.0
 POLL_S = 0.05
 MEMBER_TABLE = "endivebeam-members"
+UNRELATED_ROW = RowName("servers", "", "another")
 
 
 def make_plan() -> Plan:
@@ -92,6 +96,27 @@
             await request_everywhere(deployment, route)
             assert find_violations(deployment.make_evidence()) == []
 
+    async def test_key_withdrawn_as_it_returns_stops_working_in_time(self):
+        """Guards against evidence that rests on a position of an earlier era.
+
+        The withdrawal has the version up to which the nodes had read before.
+        """
+        async with run_deployment(make_plan(), seed=SEED) as deployment:
+            tables = deployment.store.tables
+            copy = tables.copy()
+            tables.put(UNRELATED_ROW, "")
+            await anyio.sleep(READ_S)
+            read_version = tables.version
+            deployment.store.restore(copy)
+            deployment.operator.withdraw_key("other", OTHER_KEY)
+            assert tables.version == read_version
+            await anyio.sleep(WITHDRAWN_S)
+            outcomes = [
+                await send_with_key(deployment, name, OTHER_KEY)
+                for name in sorted(deployment.nodes)
+            ]
+            assert Outcome.ANSWERED not in outcomes
+
     async def test_restarted_node_does_not_use_a_key_that_the_copy_still_has(self):
         """Guards against a withdrawn key of a configuration that came back."""
         async with run_deployment(make_plan(), seed=SEED) as deployment:
