--- a/tests/thistlegate/test_store.py
+++ b/tests/thistlegate/test_store.py
@@ -3,6 +3,7 @@
 import base64
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import anyio
 import msgspec
@@ -145,6 +146,25 @@
             assert second.config is not None
             assert second.config.version == 13
 
+    async def test_rows_of_two_eras_are_not_taken_for_one_reading(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against pages of which one is from before the restore."""
+        monkeypatch.setattr("thistlegate._store.PAGE_ROWS", 2)
+        async with run_store() as (server, store):
+            for number in range(4):
+                await store.write_member(make_member(f"n{number}"))
+            read_page = store._get
+
+            async def read_then_restore(*args: Any, **options: Any) -> Any:
+                page = await read_page(*args, **options)
+                server.restore(server.tables.copy())
+                return page
+
+            monkeypatch.setattr(store, "_get", read_then_restore)
+            with pytest.raises(StoreUnavailableError):
+                await store.read_members()
+
 
 class TestMembers:
     async def test_rows_are_written_read_and_removed_only_at_their_version(self):
