Model a restored store in virtual time

The store of the model has a feed like the platform's, and comes back from an older copy in the next era. With 1, 4 and 25 nodes a change at the return must be in force in time, whatever version it gets.

--- a/packages/endivebeam-sidecar/tests/_virtual_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_fleet.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 import anyio
 import anyio.abc
@@ -36,6 +36,7 @@
 from endivebeam_sidecar import (
     Bounds,
     ConfigReadResult,
+    HistoryLostError,
     MemberReadResult,
     SidecarSettings,
     StoredMember,
@@ -95,12 +96,24 @@
     at: float
 
 
+class StoreCopy(NamedTuple):
+    """The contents of the store at a version."""
+
+    version: StoreVersion
+    config: FleetConfig
+    config_version: StoreVersion
+    members: dict[NodeId, tuple[Member, StorePosition]]
+
+
 class VirtualStore:
     """The platform's store; the sets hold the nodes that have trouble with it."""
 
     def __init__(self) -> None:
         self.position = StorePosition(StoreEra(1), StoreVersion(1))
         self.config = FleetConfig(version=ConfigVersion(1))
+        # Version of the store at which the configuration was written last.
+        self._config_version = self.position.version
+        self._history_start = StoreVersion(0)
         self.published = [Published(1, read_virtual_clock())]
         self.members: dict[NodeId, tuple[Member, StorePosition]] = {}
         self.silent: set[NodeId] = set()
@@ -112,10 +125,36 @@
 
     def publish(self) -> None:
         """Acknowledge a new version."""
-        version = self.config.version + 1
-        self.config = FleetConfig(version=ConfigVersion(version))
+        version = self.published[-1].version + 1
         self.published.append(Published(version, read_virtual_clock()))
+        self.write_again()
+
+    def write_again(self) -> None:
+        """Write the newest version, which the store may have lost."""
+        self._mark_changed()
+        version = ConfigVersion(self.published[-1].version)
+        self.config = FleetConfig(version=version)
+        self._config_version = self.position.version
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present contents."""
+        return StoreCopy(
+            self.position.version, self.config, self._config_version, dict(self.members)
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy, in the next era and without the history."""
+        self.position = StorePosition(
+            StoreEra(self.position.era + 1), StoreVersion(copy.version - 1)
+        )
         self._mark_changed()
+        self._history_start = self.position.version
+        self.config = copy.config
+        self._config_version = copy.config_version
+        self.members = {
+            node_id: (member, StorePosition(self.position.era, written.version))
+            for node_id, (member, written) in copy.members.items()
+        }
 
     def set_trouble(self, nodes: Iterable[NodeId], *, silent: bool = True) -> None:
         """Be silent to some nodes, or refuse their calls at once."""
@@ -143,6 +182,13 @@
             while self.position.version <= position.version:
                 await self._changed.wait()
 
+    def read_changes(self, position: StorePosition) -> FleetConfig | None:
+        """Return the configuration if it was written after ``position``."""
+        known = range(self._history_start, self.position.version + 1)
+        if position.era != self.position.era or position.version not in known:
+            raise HistoryLostError("the position is not known")
+        return self.config if self._config_version > position.version else None
+
     def write(self, member: Member) -> StorePosition:
         """Store the row of a member."""
         self._mark_changed()
@@ -178,7 +224,7 @@
     ) -> ConfigReadResult:
         async def watch() -> ConfigReadResult:
             await self._store.wait(position, wait_s)
-            return await self._read_config()
+            return self._make_result(self._store.read_changes(position))
 
         return await self._call(watch, wait_s + timeout_s)
 
@@ -205,10 +251,12 @@
         await self._call(remove, STORE_TIMEOUT_S)
 
     async def _read_config(self) -> ConfigReadResult:
-        store = self._store
+        return self._make_result(self._store.config)
+
+    def _make_result(self, config: FleetConfig | None) -> ConfigReadResult:
         return ConfigReadResult(
-            config=store.config,
-            position=store.position,
+            config=config,
+            position=self._store.position,
             store_now=read_virtual_clock() + 1000.0,
         )
 
--- /dev/null
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -0,0 +1,77 @@
+"""Nodes beside a store that comes back from an older copy, in virtual time."""
+
+import os
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from endivebeam_model import NodeId
+
+from ._virtual_fleet import VirtualFleet, run_in_virtual_time
+
+PROPAGATION_S = 2.0
+WITHDRAWAL_S = 5.0
+SETTLE_S = 12.0
+# Seeds of each test; more of them are run by hand.
+SEEDS = range(int(os.environ.get("RESTORE_SEEDS", "6")))
+
+
+async def start_fleet(tasks: anyio.abc.TaskGroup, *, size: int) -> VirtualFleet:
+    fleet = VirtualFleet(tasks=tasks)
+    for number in range(size):
+        fleet.start(NodeId(f"node-{number}"))
+    await anyio.sleep(SETTLE_S)
+    return fleet
+
+
+def run_fleet(
+    monkeypatch: pytest.MonkeyPatch,
+    run: Callable[[VirtualFleet], Awaitable[None]],
+    *,
+    size: int,
+    seed: int,
+) -> None:
+    """Run a coroutine function beside a fleet that has settled."""
+
+    async def run_all() -> None:
+        async with anyio.create_task_group() as tasks:
+            await run(await start_fleet(tasks, size=size))
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(monkeypatch, run_all, seed=seed)
+
+
+def write_rows(fleet: VirtualFleet, *, count: int) -> None:
+    """Write rows of members again, which raises the store's version."""
+    for node_id in random.choices(sorted(fleet.nodes), k=count):
+        fleet.store.write(fleet.nodes[node_id].state.own)
+
+
+def find_versions(fleet: VirtualFleet) -> set[int]:
+    return {node.version for node in fleet.nodes.values()}
+
+
+class TestChanges:
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("size", [1, 4, 25])
+    def test_change_at_a_version_that_was_read_before_is_in_force_in_time(
+        self, monkeypatch: pytest.MonkeyPatch, size: int, seed: int
+    ):
+        # Guards against readers that go on from a version of an earlier era.
+        async def run(fleet: VirtualFleet) -> None:
+            copy = fleet.store.copy()
+            write_rows(fleet, count=random.randint(1, 4))
+            await anyio.sleep(random.uniform(0.5, 3))
+            fleet.store.set_trouble(fleet.nodes, silent=random.random() < 0.5)
+            await anyio.sleep(random.uniform(0.0, 1.0))
+            fleet.store.end_trouble()
+            read = fleet.store.position
+            fleet.store.restore(copy)
+            fleet.store.publish()
+            write_rows(fleet, count=read.version - fleet.store.position.version)
+            await anyio.sleep(PROPAGATION_S)
+            assert find_versions(fleet) == {fleet.store.published[-1].version}
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
