Compare the store's clock with that of the same era only

A node dates the response to a watch by the store's clock, with the greatest offset that it ever saw between the two clocks. If the clock of a restored store is ahead, this offset dates a late response at its arrival, so the evidence about keys looks younger than it is, by up to the timeout of a watch. The offset starts anew with each era.

Failed before: test_is_not_younger_after_the_store_came_back_with_another_clock.

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_freshness.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_freshness.py
@@ -20,6 +20,7 @@
     def __init__(self) -> None:
         self._confirmed_at = -math.inf
         self._offset = -math.inf
+        self._offset_era = UNKNOWN_ERA
         self.reader: NodeId | None = None
         self.era = UNKNOWN_ERA
 
@@ -37,11 +38,13 @@
         ``store_now`` is the store's monotonic clock when it replied. The store
         replied after the request was sent, so ``sent_at - store_now`` is a lower
         bound of the clock offset. The greatest bound converts the store's time into
-        the node's time, which dates the reply to a long poll.
+        the node's time, which dates the reply to a long poll. A store that came back
+        from a copy, in another ``era``, may have another clock.
         """
         offset = sent_at - store_now
-        if offset > self._offset:
+        if offset > self._offset or era != self._offset_era:
             self._offset = offset
+            self._offset_era = era
         # The clock of a restarted store may be ahead.
         self._confirm(min(store_now + self._offset, received_at), own, era)
 
--- a/packages/endivebeam-fleet/tests/test_freshness.py
+++ b/packages/endivebeam-fleet/tests/test_freshness.py
@@ -64,6 +64,27 @@
         )
         assert abs(freshness.age_s(14.01) - 3.0) < 1e-6
 
+    @given(st.floats(-60, 60), DELAYS, DELAYS)
+    def test_is_not_younger_after_the_store_came_back_with_another_clock(
+        self, jump_s: float, wait_s: float, reply_s: float
+    ):
+        # Guards against an offset of the earlier clock, which dates a late response
+        # to a long poll too recently if the clock jumped ahead.
+        freshness = Freshness()
+        freshness.record_store_response(
+            sent_at=10.0, received_at=10.01, store_now=510.0, own=OWN, era=ERA
+        )
+        replied_at = 20.0 + wait_s
+        now = replied_at + reply_s
+        freshness.record_store_response(
+            sent_at=20.0,
+            received_at=now,
+            store_now=replied_at + 500.0 + jump_s,
+            own=OWN,
+            era=StoreEra(2),
+        )
+        assert freshness.age_s(now) >= reply_s - 1e-6
+
     def test_age_from_a_peer_counts_from_the_request(self):
         # Guards against an underestimated age when the reply is delayed.
         freshness = Freshness()
