Ignore evidence that another node has from an earlier era

Such a node goes on from its position of the earlier era and tells others that nothing newer exists, without an era. Evidence counts only if its era isn't below that of the node's own; a node whose evidence gets old reads the store itself.

Failed before: test_evidence_of_an_earlier_or_unknown_era_is_ignored.

--- a/packages/endivebeam-fleet/src/endivebeam_fleet/_freshness.py
+++ b/packages/endivebeam-fleet/src/endivebeam_fleet/_freshness.py
@@ -14,7 +14,9 @@
     fraction of the time allowed for a withdrawal.
 
     ``reader`` is the node that received the latest evidence from the store, or None,
-    and ``era`` the era of the store from which it did.
+    and ``era`` the era of the store from which it did. Evidence of an earlier era is
+    ignored then, and so is that of nodes that don't tell one: they may read the changes
+    after a version that was given out twice.
     """
 
     def __init__(self) -> None:
@@ -68,7 +70,7 @@
         return max(0.0, now - self._confirmed_at)
 
     def _confirm(self, at: float, reader: NodeId | None, era: StoreEra) -> None:
-        if at > self._confirmed_at:
+        if at > self._confirmed_at and era >= self.era:
             self._confirmed_at = at
             self.reader = reader
             self.era = era
--- a/packages/endivebeam-fleet/tests/test_freshness.py
+++ b/packages/endivebeam-fleet/tests/test_freshness.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from endivebeam_fleet import Freshness
-from endivebeam_model import NodeId, StoreEra
+from endivebeam_model import UNKNOWN_ERA, NodeId, StoreEra
 
 OWN = NodeId("own")
 PEER = NodeId("peer")
@@ -97,6 +97,19 @@
         freshness.record_peer_age(requested_at=11.0, age_s=3.0, reader=PEER, era=ERA)
         assert freshness.age_s(12.0) == 2.0
 
+    def test_evidence_of_an_earlier_or_unknown_era_is_ignored(self):
+        # Guards against a node of an earlier version, which goes on from a position
+        # of an earlier era.
+        freshness = Freshness()
+        freshness.record_peer_age(
+            requested_at=10.0, age_s=0.0, reader=PEER, era=StoreEra(2)
+        )
+        for era in (UNKNOWN_ERA, StoreEra(1)):
+            freshness.record_peer_age(
+                requested_at=12.0, age_s=0.0, reader=PEER, era=era
+            )
+        assert freshness.age_s(12.0) == 2.0
+
     def test_reader_is_the_node_of_the_newest_evidence(self):
         # Guards against logs that name another node than the one relied on.
         freshness = Freshness()
