Remove the row of a stopping node at the version it has after a restore

In the copy, the row of a node that stops has another version, so the store refuses the removal, the refusal was ignored, and the row of a node that left stays: nodes that start take it for a living one. The node now reads the rows if its removal is refused, and removes its own at the version that it has there, unless a later life of the node wrote it.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_control_store.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_control_store.py
@@ -43,8 +43,9 @@
 
 
 class MemberReadResult(msgspec.Struct, frozen=True, kw_only=True):
-    """The rows of all members in the store."""
+    """The rows of all members in the store, and where they were read."""
 
+    position: StorePosition
     rows: tuple[StoredMember, ...]
 
 
@@ -70,8 +71,8 @@
     async def write_member(self, member: Member) -> StorePosition:
         """Write this node's own row; return where it was written."""
 
-    async def remove_member(self, node_id: NodeId, *, position: StorePosition) -> None:
-        """Remove a row if it still has the version of ``position``.
+    async def remove_member(self, node_id: NodeId, *, position: StorePosition) -> bool:
+        """Remove a row if it still has the version of ``position``; return whether.
 
         The store doesn't compare the era: in a later one, another row may have it.
         """
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
@@ -68,10 +68,20 @@
         if position is None:
             return
         try:
-            await self._store.remove_member(own, position=position)
+            removed = await self._store.remove_member(own, position=position)
+            if not removed:
+                await self._remove_restored_own()
         except StoreUnavailableError as error:
             self._access.record_unavailable(error)
 
+    async def _remove_restored_own(self) -> None:
+        """Remove this node's row at the version it has in the copy of the store."""
+        own = self._fleet.own
+        result = await self._store.read_members()
+        for row in result.rows:
+            if row.node_id == own.node_id and row.member.incarnation <= own.incarnation:
+                await self._store.remove_member(own.node_id, position=row.position)
+
     async def _run_with_backoff(self, loop: Callable[[], Awaitable[None]]) -> None:
         delay_s = RETRY_MIN_S
         while True:
--- a/packages/endivebeam-sidecar/tests/_store.py
+++ b/packages/endivebeam-sidecar/tests/_store.py
@@ -58,12 +58,14 @@
         self.members[member.node_id] = (member, self.position)
         return self.position
 
-    async def remove_member(self, node_id: NodeId, *, position: StorePosition) -> None:
+    async def remove_member(self, node_id: NodeId, *, position: StorePosition) -> bool:
         await self._check_available()
         _, stored = self.members.get(node_id, (None, None))
-        if stored is not None and stored.version == position.version:
-            del self.members[node_id]
-            self._mark_changed()
+        if stored is None or stored.version != position.version:
+            return False
+        del self.members[node_id]
+        self._mark_changed()
+        return True
 
     async def _check_available(self) -> None:
         await anyio.lowlevel.checkpoint()
@@ -93,7 +95,7 @@
             StoredMember(node_id=n, member=m, position=p)
             for n, (m, p) in self.members.items()
         )
-        return MemberReadResult(rows=rows)
+        return MemberReadResult(position=self.position, rows=rows)
 
 
 class StoreView:
@@ -119,9 +121,9 @@
     async def write_member(self, member: Member) -> StorePosition:
         return await self._check_access(self._store.write_member(member))
 
-    async def remove_member(self, node_id: NodeId, *, position: StorePosition) -> None:
+    async def remove_member(self, node_id: NodeId, *, position: StorePosition) -> bool:
         call = self._store.remove_member(node_id, position=position)
-        await self._check_access(call)
+        return await self._check_access(call)
 
     async def _check_access(self, call: Awaitable[T]) -> T:
         result = await call
--- a/packages/endivebeam-sidecar/tests/_virtual_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_fleet.py
@@ -195,12 +195,14 @@
         self.members[member.node_id] = (member, self.position)
         return self.position
 
-    def remove(self, node_id: NodeId, version: StoreVersion) -> None:
-        """Remove the row of a member if it has this version."""
+    def remove(self, node_id: NodeId, version: StoreVersion) -> bool:
+        """Remove the row of a member if it has this version; return whether."""
         _, stored = self.members.get(node_id, (None, None))
-        if stored is not None and stored.version == version:
-            del self.members[node_id]
-            self._mark_changed()
+        if stored is None or stored.version != version:
+            return False
+        del self.members[node_id]
+        self._mark_changed()
+        return True
 
     def _mark_changed(self) -> None:
         version = StoreVersion(self.position.version + 1)
@@ -234,7 +236,7 @@
                 StoredMember(node_id=n, member=m, position=p)
                 for n, (m, p) in self._store.members.items()
             )
-            return MemberReadResult(rows=rows)
+            return MemberReadResult(position=self._store.position, rows=rows)
 
         return await self._call(read, STORE_TIMEOUT_S)
 
@@ -244,11 +246,11 @@
 
         return await self._call(write, STORE_TIMEOUT_S)
 
-    async def remove_member(self, node_id: NodeId, *, position: StorePosition) -> None:
-        async def remove() -> None:
-            self._store.remove(node_id, position.version)
+    async def remove_member(self, node_id: NodeId, *, position: StorePosition) -> bool:
+        async def remove() -> bool:
+            return self._store.remove(node_id, position.version)
 
-        await self._call(remove, STORE_TIMEOUT_S)
+        return await self._call(remove, STORE_TIMEOUT_S)
 
     async def _read_config(self) -> ConfigReadResult:
         return self._make_result(self._store.config)
--- a/packages/endivebeam-sidecar/tests/test_restored_store.py
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -140,3 +140,25 @@
                 assert not has_evidence or node.version == 2
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
+
+
+class TestPlannedStops:
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("size", [1, 4, 25])
+    def test_row_of_a_node_that_left_is_removed(
+        self, monkeypatch: pytest.MonkeyPatch, size: int, seed: int
+    ):
+        # Guards against a removal that names the version of an earlier era: the row
+        # stays, and nodes that start take the node for a living one.
+        async def run(fleet: VirtualFleet) -> None:
+            copy = fleet.store.copy()
+            node = fleet.nodes[random.choice(sorted(fleet.nodes))]
+            node.control.publish_own()
+            await anyio.sleep(random.uniform(0.5, 3))
+            fleet.store.restore(copy)
+            fleet.store.write_again()
+            await anyio.sleep(random.uniform(0.0, 3))
+            await node.control.announce_departure()
+            assert node.node_id not in fleet.store.members
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
