Reject late responses of an earlier era of the store

A response that was sent before a drill and arrives after it, on a connection that was silent, was applied: its position and its rows' versions replaced those of the new era. Responses with an error have no content that is used, so they are not looked at.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_reader.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_reader.py
@@ -117,6 +117,7 @@
             sent_at = read_clock()
             result = await self._call(wait_s=0.0, timeout_s=timeout_s)
         received_at = read_clock()
+        self._access.record_response(result.position.era)
         self._position = result.position
         _log_era(previous, result.position)
         self._adopt(result)
@@ -146,7 +147,6 @@
         self._fleet.heard_others.set()
 
     def _adopt(self, result: ConfigReadResult) -> None:
-        self._access.record_available()
         fleet = self._fleet
         has_news = self._age_s() > self._times.first_takeover_s
         if result.config is not None:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
@@ -78,6 +78,7 @@
         """Remove this node's row at the version it has in the copy of the store."""
         own = self._fleet.own
         result = await self._store.read_members()
+        self._access.record_response(result.position.era)
         for row in result.rows:
             if row.node_id == own.node_id and row.member.incarnation <= own.incarnation:
                 await self._store.remove_member(own.node_id, position=row.position)
@@ -114,7 +115,7 @@
 
     async def _read_members(self) -> None:
         result = await self._store.read_members()
-        self._access.record_available()
+        self._access.record_response(result.position.era)
         fleet = self._fleet
         own = fleet.own.node_id
         self._row_positions = {row.node_id: row.position for row in result.rows}
@@ -137,6 +138,7 @@
                 continue
             try:
                 position = await self._store.write_member(own)
+                self._access.record_response(position.era)
             except StoreUnavailableError:
                 self._own_changed.set()
                 raise
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_access.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_access.py
@@ -2,19 +2,32 @@
 
 from loguru import logger
 
+from endivebeam_model import UNKNOWN_ERA, StoreEra
+
 from ._control_store import StoreUnavailableError
 from ._metrics import SidecarMetrics
 
 
 class StoreAccessLog:
-    """Counts calls to the store and logs when it is lost or regained."""
+    """Counts calls to the store and logs when it is lost or regained.
+
+    It keeps the highest era of the store that a response told.
+    """
 
     def __init__(self, *, metrics: SidecarMetrics) -> None:
         self._metrics = metrics
         self._connected: bool | None = None
+        self._era = UNKNOWN_ERA
+
+    def record_response(self, era: StoreEra) -> None:
+        """Record a call that the store answered in ``era``.
 
-    def record_available(self) -> None:
-        """Record a call that the store answered."""
+        Raises ``StoreUnavailableError`` if a later era is known: the response was
+        late, and what it tells belongs to a state that is gone.
+        """
+        if era < self._era:
+            raise StoreUnavailableError(f"response of era {era} in era {self._era}")
+        self._era = era
         self._metrics.store_calls.labels("answered").inc()
         if self._connected is not True:
             self._connected = True
