--- a/tests/thistlegate/test_store.py
+++ b/tests/thistlegate/test_store.py
@@ -9,8 +9,9 @@
 import msgspec
 import pytest
 
-from endivebeam_http import TcpListener, listen_tcp
+from endivebeam_http import Field, Response, TcpListener, listen_tcp
 from endivebeam_model import (
+    UNKNOWN_ERA,
     Address,
     DomainName,
     Member,
@@ -24,6 +25,7 @@
 )
 from endivebeam_sidecar import HistoryLostError, StoreUnavailableError
 from thistlegate import PlatformStore
+from thistlegate._store import _read_era
 from thistlegate_standin import StoreFaults, StoreServer, Tables
 from thistlegate_standin._faults import Fault
 from thistlegate_standin._tables import RowName
@@ -166,6 +168,17 @@
                 await store.read_members()
 
 
+class TestMalformedEras:
+    @pytest.mark.parametrize("value", [b"", b"x", b"-1", b"1.5", b"\xb2", b"9" * 30])
+    def test_count_as_none(self, value: bytes):
+        """Guards against a number that the messages between nodes can't carry."""
+        response = Response(status=200, fields=[Field(b"store-era", value)])
+        assert _read_era(response) == UNKNOWN_ERA
+
+    def test_missing_one_counts_as_none(self):
+        assert _read_era(Response(status=200)) == UNKNOWN_ERA
+
+
 class TestMembers:
     async def test_rows_are_written_read_and_removed_only_at_their_version(self):
         async with run_store() as (_, store):
