Write the rows of living nodes again after a restore of the store

Cause: a node wrote its row when its record changed, and never again. Nodes tell each other the highest era that they know, with each synchronization; one that hears of a higher one writes its row again within 1 s, at a random time, so that all together stay within the store's rate. Most nodes make no call to the store themselves, so the era has to travel on its own.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_control.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_control.py
@@ -23,6 +23,7 @@
 from ._settings import Bounds
 from ._state import FleetState
 from ._store_access import StoreAccessLog
+from ._store_eras import StoreEras
 from ._store_watchers import StoreWatchers
 from ._supervision import run_logged
 from ._unreachable_nodes import UnreachableNodes
@@ -48,7 +49,8 @@
         key_trust_s = compute_key_trust_s(bounds.key_withdrawal_s)
         times = plan_propagation(min(bounds.propagation_s, key_trust_s))
         _check_propagation(times)
-        access = StoreAccessLog(metrics=metrics)
+        eras = StoreEras(on_restored=self._write_again)
+        access = StoreAccessLog(metrics=metrics, eras=eras)
         self.watchers = StoreWatchers(fleet=fleet, unreachable=unreachable)
         self._gossip = Gossip(
             fleet=fleet,
@@ -56,6 +58,7 @@
             unreachable=unreachable,
             watchers=self.watchers,
             times=times,
+            eras=eras,
         )
         self._config_reader = ConfigReader(
             fleet=fleet,
@@ -89,6 +92,10 @@
         self._gossip.push_soon()
         self._member_sync.write_soon()
 
+    def _write_again(self) -> None:
+        self._gossip.push_soon()
+        self._member_sync.write_again_soon()
+
     async def announce_departure(self) -> None:
         """Send this node's last record to peers and remove its row."""
         async with anyio.create_task_group() as tasks:
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
@@ -19,6 +19,7 @@
 from ._links import LinkLostError, LinkNotOpenError, Links
 from ._signal import Signal
 from ._state import FleetState
+from ._store_eras import StoreEras
 from ._store_watchers import StoreWatchers
 from ._unreachable_nodes import UnreachableNodes
 
@@ -44,12 +45,14 @@
         unreachable: UnreachableNodes,
         watchers: StoreWatchers,
         times: PropagationTimes,
+        eras: StoreEras,
     ) -> None:
         self._fleet = fleet
         self._links = links
         self._unreachable = unreachable
         self._watchers = watchers
         self._times = times
+        self._eras = eras
         self._push_wanted = anyio.Event()
         self._next_peer: NodeId | None = None
         self._sync_wanted = Signal()
@@ -91,6 +94,7 @@
             self._fleet.adopt_member(member)
         fleet = self._fleet
         version = fleet.config_version
+        self._eras.record(request.store_era)
         self._record_version(node_id, request.config_version)
         if request.config_version == version and request.config_age_ms >= 0:
             self._consider_evidence(node_id, request.config_age_ms / 1000)
@@ -113,6 +117,7 @@
             members=tuple(members),
             config_reader=fleet.freshness.reader or NodeId(""),
             config_era=fleet.freshness.era,
+            store_era=self._eras.current,
         )
 
     def _consider_evidence(self, node_id: NodeId, age_s: float) -> None:
@@ -194,6 +199,7 @@
                 versions=versions,
                 members=(fleet.own,),
                 config_age_ms=self._config_age_ms(),
+                store_era=self._eras.current,
             )
 
         reply = await self._links.send_request(member, make_request)
@@ -207,6 +213,7 @@
         fleet = self._fleet
         for member in reply.members:
             fleet.adopt_member(member)
+        self._eras.record(reply.store_era)
         self._record_version(node_id, reply.config_version)
         fleet.heard_others.set()
         is_newest = fleet.config_version == fleet.known_version
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
@@ -22,6 +22,8 @@
 ABANDONED_AFTER_S = 12.0
 # Watchers read all rows this often, in case a change did not spread by gossip.
 MEMBERS_READ_PERIOD_S = 10.0
+# After a restore of the store, all rows are written again within this time.
+WRITE_AGAIN_S = 1.0
 # A node that knows no other node reads the rows this often.
 ALONE_READ_PERIOD_S = 2.0
 
@@ -49,6 +51,7 @@
         self._watchers = watchers
         self._access = access
         self._own_changed = anyio.Event()
+        self._restored = anyio.Event()
         self._row_positions: dict[NodeId, StorePosition] = {}
 
     async def run(self) -> None:
@@ -56,11 +59,16 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_with_backoff, self._follow_members)
             tasks.start_soon(self._run_with_backoff, self._write_own)
+            tasks.start_soon(self._follow_restores)
 
     def write_soon(self) -> None:
         """Write this node's changed record to the store soon."""
         self._own_changed.set()
 
+    def write_again_soon(self) -> None:
+        """Write this node's row again, as the store came back from an older copy."""
+        self._restored.set()
+
     async def remove_own(self) -> None:
         """Remove this node's row during a planned stop."""
         own = self._fleet.own.node_id
@@ -96,6 +104,14 @@
             await anyio.sleep(delay_s * random.uniform(0.7, 1.3))
             delay_s = min(RETRY_MAX_S, delay_s * 1.6)
 
+    async def _follow_restores(self) -> None:
+        while True:
+            await self._restored.wait()
+            self._restored = anyio.Event()
+            # All nodes write again, and share the rate of the store.
+            await anyio.sleep(random.uniform(0.0, WRITE_AGAIN_S))
+            self.write_soon()
+
     async def _follow_members(self) -> None:
         while True:
             await self._read_members()
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_access.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_access.py
@@ -6,6 +6,7 @@
 
 from ._control_store import StoreUnavailableError
 from ._metrics import SidecarMetrics
+from ._store_eras import StoreEras
 
 
 class StoreAccessLog:
@@ -14,7 +15,8 @@
     It keeps the highest era of the store that a response told.
     """
 
-    def __init__(self, *, metrics: SidecarMetrics) -> None:
+    def __init__(self, *, metrics: SidecarMetrics, eras: StoreEras) -> None:
+        self._eras = eras
         self._metrics = metrics
         self._connected: bool | None = None
         self._era = UNKNOWN_ERA
@@ -28,6 +30,7 @@
         if era < self._era:
             raise StoreUnavailableError(f"response of era {era} in era {self._era}")
         self._era = era
+        self._eras.record(era)
         self._metrics.store_calls.labels("answered").inc()
         if self._connected is not True:
             self._connected = True
--- a/packages/endivebeam-sidecar/tests/_virtual_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_fleet.py
@@ -398,13 +398,20 @@
                     tasks.start_soon(loop)
                 self._serve()
 
+    def leave(self) -> None:
+        """Announce that this node leaves."""
+        self._set_state(MemberState.LEFT)
+
     def _serve(self) -> None:
+        self._set_state(MemberState.SERVING)
+        self.control.publish_own()
+
+    def _set_state(self, state: MemberState) -> None:
         own = self.state.own
         self.state.own = msgspec.structs.replace(
-            own, state=MemberState.SERVING, sequence=own.sequence + 1, slots=8
+            own, state=state, sequence=own.sequence + 1, slots=8
         )
         self.state.directory.apply(self.state.own)
-        self.control.publish_own()
 
 
 @dataclass
--- a/packages/endivebeam-sidecar/tests/test_restored_store.py
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -19,6 +19,8 @@
 PROPAGATION_S = 2.0
 WITHDRAWAL_S = 5.0
 SETTLE_S = 12.0
+# Time in which rows that lapsed are back after the store is, by the platform's pages.
+ROWS_BACK_S = 2.0
 # Seeds of each test; more of them are run by hand.
 SEEDS = range(int(os.environ.get("RESTORE_SEEDS", "6")))
 
@@ -162,3 +164,24 @@
             assert node.node_id not in fleet.store.members
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
+
+
+class TestMembers:
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("size", [1, 4, 25])
+    def test_rows_that_the_copy_lacks_are_back_in_time(
+        self, monkeypatch: pytest.MonkeyPatch, size: int, seed: int
+    ):
+        # Guards against a node that starts and doesn't find those that serve.
+        async def run(fleet: VirtualFleet) -> None:
+            copy = fleet.store.copy()
+            lost = random.sample(sorted(fleet.nodes), random.randint(1, size))
+            rows = {n: row for n, row in copy.members.items() if n not in lost}
+            fleet.store.set_trouble(fleet.nodes)
+            await anyio.sleep(random.uniform(0.0, 1.0))
+            fleet.store.restore(copy._replace(members=rows))
+            fleet.store.end_trouble()
+            await anyio.sleep(ROWS_BACK_S)
+            assert set(fleet.store.members) == set(fleet.nodes)
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
--- a/packages/endivebeam-sidecar/tests/test_store_access.py
+++ b/packages/endivebeam-sidecar/tests/test_store_access.py
@@ -6,10 +6,12 @@
 from endivebeam_sidecar import StoreUnavailableError
 from endivebeam_sidecar._metrics import SidecarMetrics
 from endivebeam_sidecar._store_access import StoreAccessLog
+from endivebeam_sidecar._store_eras import StoreEras
 
 
 def make_log() -> StoreAccessLog:
-    return StoreAccessLog(metrics=SidecarMetrics())
+    eras = StoreEras(on_restored=lambda: None)
+    return StoreAccessLog(metrics=SidecarMetrics(), eras=eras)
 
 
 class TestEras:
@@ -29,3 +31,14 @@
         access.record_response(StoreEra(1))
         with pytest.raises(StoreUnavailableError):
             access.record_response(UNKNOWN_ERA)
+
+
+class TestKnownEra:
+    def test_restore_is_noticed_once_by_whoever_tells_it_first(self):
+        # Guards against a node that writes its row for the first era that it hears of,
+        # or for each of the nodes that tell it a new one.
+        noticed: list[int] = []
+        eras = StoreEras(on_restored=lambda: noticed.append(eras.current))
+        for era in (UNKNOWN_ERA, 3, 3, 4, 4, 3, 6):
+            eras.record(StoreEra(era))
+        assert noticed == [4, 6]
--- a/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
@@ -127,7 +127,8 @@
     the digests differ. ``config_age_ms`` is the age of the sender's evidence that
     ``config_version`` is the newest, -1 without evidence. The time that the request
     travels is unknown, so the receiver only learns that a reply to a request of its own
-    may bring newer evidence.
+    may bring newer evidence. ``store_era`` is the highest era of the store that the
+    sender knows.
     """
 
     request_id: int
@@ -136,6 +137,7 @@
     versions: dict[NodeId, RecordVersion] = {}
     members: tuple[Member, ...] = ()
     config_age_ms: int = -1
+    store_era: StoreEra = UNKNOWN_ERA
 
 
 class SyncReply(PeerMessage, frozen=True, kw_only=True, tag=63):
@@ -145,6 +147,7 @@
     newest, -1 without evidence or when the requesting node has an older version.
     ``config_reader`` is the node that has this evidence from the store, or empty, and
     ``config_era`` the era of the store then; an earlier version of a node sends none.
+    ``store_era`` is the highest era of the store that the sender knows.
     """
 
     request_id: int
@@ -154,6 +157,7 @@
     members: tuple[Member, ...] = ()
     config_reader: NodeId = NodeId("")
     config_era: StoreEra = UNKNOWN_ERA
+    store_era: StoreEra = UNKNOWN_ERA
 
 
 class ConfigRequest(PeerMessage, frozen=True, kw_only=True, tag=66):
