Remove again the rows of nodes that left, which a copy has brought back

A copy of the store that is older than a node's departure has its row again. The node is gone and nobody else removed rows of departed nodes, so nodes that start took it for a living one. After a restore the watchers read the rows as soon as living nodes have written theirs; the first watcher removes those of nodes that announced their departure. Rows of nodes that are only taken for dead stay until they are unreachable for 12 s, as before.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
@@ -53,6 +53,8 @@
         self._own_changed = anyio.Event()
         self._restored = anyio.Event()
         self._row_positions: dict[NodeId, StorePosition] = {}
+        # Set until the rows were read after a restore of the store.
+        self._was_restored = False
 
     async def run(self) -> None:
         """Synchronize with the store until cancelled."""
@@ -111,11 +113,15 @@
             # All nodes write again, and share the rate of the store.
             await anyio.sleep(random.uniform(0.0, WRITE_AGAIN_S))
             self.write_soon()
+            self._was_restored = True
 
     async def _follow_members(self) -> None:
         while True:
             await self._read_members()
             await self._remove_abandoned()
+            if self._was_restored:
+                await self._remove_departed()
+                self._was_restored = False
             await self._wait_to_read_members()
 
     async def _wait_to_read_members(self) -> None:
@@ -124,6 +130,8 @@
             await anyio.sleep(CHECK_PERIOD_S)
             waited_s = read_clock() - started
             alone = len(self._fleet.directory) < 2
+            if self._was_restored and self._watchers.includes_self():
+                return
             if waited_s > MEMBERS_READ_PERIOD_S and self._watchers.includes_self():
                 return
             if waited_s > ALONE_READ_PERIOD_S and (alone or self._has_abandoned()):
@@ -183,3 +191,14 @@
             )
             await self._store.remove_member(node_id, position=position)
             self._fleet.declare_dead(node_id)
+
+    async def _remove_departed(self) -> None:
+        """Remove the rows of nodes that left, which an older copy has brought back."""
+        if not self._watchers.is_first():
+            return
+        for node_id, position in tuple(self._row_positions.items()):
+            known = self._fleet.directory.find(node_id)
+            if known is None or known.state is not MemberState.LEFT:
+                continue
+            del self._row_positions[node_id]
+            await self._store.remove_member(node_id, position=position)
--- a/packages/endivebeam-sidecar/tests/test_restored_store.py
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -21,6 +21,7 @@
 SETTLE_S = 12.0
 # Time in which rows that lapsed are back after the store is, by the platform's pages.
 ROWS_BACK_S = 2.0
+REMOVED_S = 5.0
 # Seeds of each test; more of them are run by hand.
 SEEDS = range(int(os.environ.get("RESTORE_SEEDS", "6")))
 
@@ -185,3 +186,25 @@
             assert set(fleet.store.members) == set(fleet.nodes)
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("size", [4, 25])
+    def test_rows_of_nodes_that_left_are_removed_again(
+        self, monkeypatch: pytest.MonkeyPatch, size: int, seed: int
+    ):
+        # Guards against a removal that was lost, which would bring the node back.
+        async def run(fleet: VirtualFleet) -> None:
+            copy = fleet.store.copy()
+            gone = random.choice(sorted(fleet.nodes))
+            node = fleet.nodes[gone]
+            node.leave()
+            await node.control.announce_departure()
+            fleet.kill(gone)
+            assert gone not in fleet.store.members
+            await anyio.sleep(random.uniform(0.1, 2.0))
+            fleet.store.restore(copy)
+            fleet.store.write_again()
+            await anyio.sleep(REMOVED_S)
+            assert gone not in fleet.store.members
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
