--- a/tests/thistlegate/test_odd_entries.py
+++ b/tests/thistlegate/test_odd_entries.py
@@ -16,6 +16,7 @@
     NodeId,
     RegionName,
     ServiceName,
+    StoreEra,
 )
 from endivebeam_wire import FrameError
 from endivebeam_wire._codec import _decode as decode_frame
@@ -28,6 +29,7 @@
 from thistlegate._store import _decode_members, _Row
 
 DEEP = "[" * 100_000 + "]" * 100_000
+ERA = StoreEra(1)
 HUGE = "9" * 30
 VERY_LONG = "9" * 5000
 ANNOUNCEMENT = (
@@ -80,12 +82,12 @@
     @pytest.mark.parametrize(("usual", "odd"), ODD_MEMBERS, ids=lambda text: text[:16])
     def test_odd_row_is_left_out_and_the_others_are_read(self, usual: str, odd: str):
         rows = [make_row("n1", MEMBER.replace(usual, odd)), make_row("n2", MEMBER)]
-        assert [member.node_id for member in _decode_members(rows)] == ["n2"]
+        assert [member.node_id for member in _decode_members(rows, ERA)] == ["n2"]
 
     @pytest.mark.parametrize("value", ["é", "a", "====", "\x00"])
     def test_row_that_is_no_base64_is_left_out(self, value: str):
         rows = [_Row(key="n1", ver=1, value=value), make_row("n2", MEMBER)]
-        assert [member.node_id for member in _decode_members(rows)] == ["n2"]
+        assert [member.node_id for member in _decode_members(rows, ERA)] == ["n2"]
 
     def test_rows_of_nodes_stay_readable(self):
         member = Member(
@@ -100,7 +102,7 @@
             state=MemberState.SERVING,
         )
         text = msgspec.json.encode(member).decode()
-        assert _decode_members([make_row("n1", text)])[0].member == member
+        assert _decode_members([make_row("n1", text)], ERA)[0].member == member
 
 
 class TestConfigurations:
