Don't write the row of a stopping node again after a restore

A node that noticed a restore of the store between the removal of its row and its end wrote the row once more, and nobody removed it until the next restore.

--- a/packages/endivebeam-model/src/endivebeam_model/_store_position.py
+++ b/packages/endivebeam-model/src/endivebeam_model/_store_position.py
@@ -20,9 +20,8 @@
     A restored store gives out versions again, so a version alone may name two
     contents. Positions are ordered by era first.
 
-    >>> old, new = StorePosition(StoreEra(1), StoreVersion(9)), StorePosition(
-    ...     StoreEra(2), StoreVersion(4)
-    ... )
+    >>> old = StorePosition(StoreEra(1), StoreVersion(9))
+    >>> new = StorePosition(StoreEra(2), StoreVersion(4))
     >>> old < new
     True
     """
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
@@ -158,7 +158,7 @@
             await self._own_changed.wait()
             self._own_changed = anyio.Event()
             own = self._fleet.own
-            if own.state is MemberState.JOINING:
+            if own.state in (MemberState.JOINING, MemberState.LEFT):
                 continue
             try:
                 position = await self._store.write_member(own)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_access.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_store_access.py
@@ -12,7 +12,7 @@
 class StoreAccessLog:
     """Counts calls to the store and logs when it is lost or regained.
 
-    It keeps the highest era of the store that a response told.
+    It rejects responses of an earlier era of the store than one before had.
     """
 
     def __init__(self, *, metrics: SidecarMetrics, eras: StoreEras) -> None:
--- a/packages/endivebeam-sidecar/tests/test_restored_store.py
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -168,6 +168,23 @@
 
 
 class TestMembers:
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_row_of_a_node_that_stops_is_not_written_again(
+        self, monkeypatch: pytest.MonkeyPatch, seed: int
+    ):
+        # Guards against a restore that is noticed between the removal of the row and
+        # the end of the process.
+        async def run(fleet: VirtualFleet) -> None:
+            node = fleet.nodes[random.choice(sorted(fleet.nodes))]
+            node.leave()
+            await node.control.announce_departure()
+            fleet.store.restore(fleet.store.copy())
+            fleet.store.write_again()
+            await anyio.sleep(ROWS_BACK_S)
+            assert node.node_id not in fleet.store.members
+
+        run_fleet(monkeypatch, run, size=4, seed=seed)
+
     @pytest.mark.parametrize("seed", SEEDS)
     @pytest.mark.parametrize("size", [1, 4, 25])
     def test_rows_that_the_copy_lacks_are_back_in_time(
