Record a version of a peer in one place; reset what a reader knows where it becomes void

The condition for evidence of a peer stands in one expression. The reader forgets the stored version where it drops its position, no longer as a side effect of each call.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_reader.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_reader.py
@@ -113,9 +113,9 @@
             logger.bind(reason=str(error)).info(
                 "store: The changes are not available; reading all again."
             )
-            self._position = None
+            self._position, self._stored_version = None, NO_VERSION
             sent_at = read_clock()
-            result = await self._call(wait_s=0.0, timeout_s=timeout_s)
+            result = await self._store.read_config(timeout_s=timeout_s)
         received_at = read_clock()
         self._access.record_response(result.position.era)
         self._position = result.position
@@ -134,7 +134,6 @@
 
     async def _call(self, *, wait_s: float, timeout_s: float) -> ConfigReadResult:
         if self._position is None:
-            self._stored_version = NO_VERSION
             return await self._store.read_config(timeout_s=timeout_s)
         return await self._store.watch_config(
             self._position, wait_s=wait_s, timeout_s=timeout_s
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_transfer.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_transfer.py
@@ -56,6 +56,7 @@
     def record_peer_version(self, node_id: NodeId, version: ConfigVersion) -> None:
         """Record the version of a peer, which is fetched if it is newer."""
         fleet = self._fleet
+        fleet.record_peer_version(version)
         if version > fleet.config_version and node_id != fleet.own.node_id:
             self._sources[node_id] = version
             self._newer_known.set()
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
@@ -95,7 +95,7 @@
         fleet = self._fleet
         version = fleet.config_version
         self._eras.record(request.store_era)
-        self._record_version(node_id, request.config_version)
+        self.config_transfer.record_peer_version(node_id, request.config_version)
         if request.config_version == version and request.config_age_ms >= 0:
             self._consider_evidence(node_id, request.config_age_ms / 1000)
         digest = fleet.directory.digest()
@@ -214,21 +214,15 @@
         for member in reply.members:
             fleet.adopt_member(member)
         self._eras.record(reply.store_era)
-        self._record_version(node_id, reply.config_version)
+        self.config_transfer.record_peer_version(node_id, reply.config_version)
         fleet.heard_others.set()
-        is_newest = fleet.config_version == fleet.known_version
-        if reply.config_version == fleet.config_version and is_newest:
+        is_newest = reply.config_version == fleet.config_version == fleet.known_version
+        if is_newest and reply.config_age_ms >= 0:
             self._record_evidence(node_id, reply, requested_at)
 
-    def _record_version(self, node_id: NodeId, version: ConfigVersion) -> None:
-        self._fleet.record_peer_version(version)
-        self.config_transfer.record_peer_version(node_id, version)
-
     def _record_evidence(
         self, node_id: NodeId, reply: SyncReply, requested_at: float
     ) -> None:
-        if reply.config_age_ms < 0:
-            return
         freshness = self._fleet.freshness
         previous_era = freshness.era
         freshness.record_peer_age(
