--- a/packages/endivebeam-sidecar/tests/test_config_propagation.py
+++ b/packages/endivebeam-sidecar/tests/test_config_propagation.py
@@ -9,30 +9,17 @@
 
 from endivebeam_model import NodeId
 
-from ._virtual_fleet import (
-    VirtualFleet,
-    VirtualNode,
-    read_virtual_clock,
-    run_in_virtual_time,
-)
+from ._virtual_fleet import VirtualFleet, VirtualNode, run_fleet, start_fleet
+from ._virtual_time import read_virtual_clock, run_in_virtual_time
 
 PROPAGATION_S = 2.0
 # After trouble a node has this long until it must keep the bound again.
 STABILITY_S = 3.0
-SETTLE_S = 12.0
 CHECK_PERIOD_S = 0.01
 # Seeds of each test; more of them are run by hand.
 SEEDS = range(int(os.environ.get("PROPAGATION_SEEDS", "6")))
 
 
-async def start_fleet(tasks: anyio.abc.TaskGroup, *, size: int) -> VirtualFleet:
-    fleet = VirtualFleet(tasks=tasks)
-    for number in range(size):
-        fleet.start(NodeId(f"node-{number}"))
-    await anyio.sleep(SETTLE_S)
-    return fleet
-
-
 def find_watchers(fleet: VirtualFleet) -> set[NodeId]:
     """Return the nodes that read the store for the others."""
     return {n for n, node in fleet.nodes.items() if node.watchers.includes_self()}
@@ -54,23 +41,20 @@
     ):
         # Guards against nodes that rely for longer than the bound on others that have
         # lost the store, although they reach it themselves.
-        async def run() -> None:
-            async with anyio.create_task_group() as tasks:
-                fleet = await start_fleet(tasks, size=size)
-                await anyio.sleep(random.uniform(0, 2))
-                watchers = find_watchers(fleet)
-                others = sorted(set(fleet.nodes) - watchers)
-                silent = random.sample(others, int(len(others) * random.random() * 0.8))
-                fleet.store.set_trouble([*watchers, *silent])
-                await anyio.sleep(random.uniform(0, 1))
-                for _ in range(4):
-                    fleet.store.publish()
-                    version = fleet.store.config.version
-                    await anyio.sleep(PROPAGATION_S)
-                    assert not find_late(fleet, version)
-                tasks.cancel_scope.cancel()
-
-        run_in_virtual_time(monkeypatch, run, seed=seed)
+        async def run(fleet: VirtualFleet) -> None:
+            await anyio.sleep(random.uniform(0, 2))
+            watchers = find_watchers(fleet)
+            others = sorted(set(fleet.nodes) - watchers)
+            silent = random.sample(others, int(len(others) * random.random() * 0.8))
+            fleet.store.set_trouble([*watchers, *silent])
+            await anyio.sleep(random.uniform(0, 1))
+            for _ in range(4):
+                fleet.store.publish()
+                version = fleet.store.config.version
+                await anyio.sleep(PROPAGATION_S)
+                assert not find_late(fleet, version)
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
 
 
 class Trouble:
--- a/packages/endivebeam-sidecar/tests/test_restored_store.py
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -2,23 +2,16 @@
 
 import os
 import random
-from collections.abc import Awaitable, Callable
 
 import anyio
 import pytest
 
-from endivebeam_model import NodeId
-
-from ._virtual_fleet import (
-    StoreCopy,
-    VirtualFleet,
-    read_virtual_clock,
-    run_in_virtual_time,
-)
+from ._virtual_fleet import VirtualFleet, run_fleet
+from ._virtual_store import StoreCopy
+from ._virtual_time import read_virtual_clock
 
 PROPAGATION_S = 2.0
 WITHDRAWAL_S = 5.0
-SETTLE_S = 12.0
 # Time in which rows that lapsed are back after the store is, by the platform's pages.
 ROWS_BACK_S = 2.0
 REMOVED_S = 5.0
@@ -26,31 +19,6 @@
 SEEDS = range(int(os.environ.get("RESTORE_SEEDS", "6")))
 
 
-async def start_fleet(tasks: anyio.abc.TaskGroup, *, size: int) -> VirtualFleet:
-    fleet = VirtualFleet(tasks=tasks)
-    for number in range(size):
-        fleet.start(NodeId(f"node-{number}"))
-    await anyio.sleep(SETTLE_S)
-    return fleet
-
-
-def run_fleet(
-    monkeypatch: pytest.MonkeyPatch,
-    run: Callable[[VirtualFleet], Awaitable[None]],
-    *,
-    size: int,
-    seed: int,
-) -> None:
-    """Run a coroutine function beside a fleet that has settled."""
-
-    async def run_all() -> None:
-        async with anyio.create_task_group() as tasks:
-            await run(await start_fleet(tasks, size=size))
-            tasks.cancel_scope.cancel()
-
-    run_in_virtual_time(monkeypatch, run_all, seed=seed)
-
-
 def write_rows(fleet: VirtualFleet, *, count: int) -> None:
     """Write rows of members again, which raises the store's version."""
     for node_id in random.choices(sorted(fleet.nodes), k=count):
@@ -176,8 +144,7 @@
         # the end of the process.
         async def run(fleet: VirtualFleet) -> None:
             node = fleet.nodes[random.choice(sorted(fleet.nodes))]
-            node.leave()
-            await node.control.announce_departure()
+            await node.leave()
             fleet.store.restore(fleet.store.copy())
             fleet.store.write_again()
             await anyio.sleep(ROWS_BACK_S)
@@ -214,8 +181,7 @@
             copy = fleet.store.copy()
             gone = random.choice(sorted(fleet.nodes))
             node = fleet.nodes[gone]
-            node.leave()
-            await node.control.announce_departure()
+            await node.leave()
             fleet.kill(gone)
             assert gone not in fleet.store.members
             await anyio.sleep(random.uniform(0.1, 2.0))
