Remove the rows of nodes that left while the store was away

What callers could see: after a restart of all nodes beside it, a node that had left was in use again until it had been unreachable for 12 s.

Cause: only the leaving node removes its row, once. If the store doesn't answer it then, nobody did later: the others removed rows of departed nodes only after a restore, and a departed node is not pinged, so never "unreachable". The first watcher now does so whenever it reads all rows. The order in which a noticed restore was reset could also drop one that came during a pass; it is reset first now.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
@@ -53,7 +53,7 @@
         self._own_changed = anyio.Event()
         self._restored = anyio.Event()
         self._row_positions: dict[NodeId, StorePosition] = {}
-        # Set until the rows were read after a restore of the store.
+        # Set until the rows are read after a restore of the store.
         self._was_restored = False
 
     async def run(self) -> None:
@@ -117,11 +117,11 @@
 
     async def _follow_members(self) -> None:
         while True:
+            # A restore that is noticed during this pass needs one more.
+            self._was_restored = False
             await self._read_members()
             await self._remove_abandoned()
-            if self._was_restored:
-                await self._remove_departed()
-                self._was_restored = False
+            await self._remove_departed()
             await self._wait_to_read_members()
 
     async def _wait_to_read_members(self) -> None:
@@ -193,7 +193,10 @@
             self._fleet.declare_dead(node_id)
 
     async def _remove_departed(self) -> None:
-        """Remove the rows of nodes that left, which an older copy has brought back."""
+        """Remove the rows that nodes left behind or an older copy has brought back.
+
+        A node that leaves removes its row itself, if the store answers it.
+        """
         if not self._watchers.is_first():
             return
         for node_id, position in tuple(self._row_positions.items()):
--- a/packages/endivebeam-sidecar/tests/test_restored_store.py
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -15,6 +15,8 @@
 # Time in which rows that lapsed are back after the store is, by the platform's pages.
 ROWS_BACK_S = 2.0
 REMOVED_S = 5.0
+# A row that nobody removed in the silence is found when all rows are read next.
+REMOVED_AFTER_SILENCE_S = 15.0
 # Seeds of each test; more of them are run by hand.
 SEEDS = range(int(os.environ.get("RESTORE_SEEDS", "6")))
 
@@ -129,7 +131,7 @@
             fleet.store.restore(copy)
             fleet.store.write_again()
             await anyio.sleep(random.uniform(0.0, 3))
-            await node.control.announce_departure()
+            await node.leave()
             assert node.node_id not in fleet.store.members
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
@@ -191,3 +193,46 @@
             assert gone not in fleet.store.members
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("size", [4, 25])
+    def test_rows_of_nodes_that_left_are_removed_after_overlapping_restores(
+        self, monkeypatch: pytest.MonkeyPatch, size: int, seed: int
+    ):
+        # Guards against a restore that is noticed while the rows of the era before are
+        # read, and counts as followed then.
+        async def run(fleet: VirtualFleet) -> None:
+            copy = fleet.store.copy()
+            gone = random.choice(sorted(fleet.nodes))
+            await fleet.nodes[gone].leave()
+            fleet.kill(gone)
+            await anyio.sleep(random.uniform(0.1, 2.0))
+            for _ in range(random.randint(2, 4)):
+                fleet.store.restore(copy)
+                fleet.store.write_again()
+                await anyio.sleep(random.uniform(0.0, 1.5))
+            await anyio.sleep(REMOVED_S)
+            assert gone not in fleet.store.members
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
+
+
+class TestSilentStore:
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("size", [2, 4, 25])
+    def test_row_of_a_node_that_left_meanwhile_is_removed_afterwards(
+        self, monkeypatch: pytest.MonkeyPatch, size: int, seed: int
+    ):
+        # Guards against a node that left while the store was silent, and is in use
+        # again after the others have restarted.
+        async def run(fleet: VirtualFleet) -> None:
+            fleet.store.set_trouble(fleet.nodes, silent=random.random() < 0.5)
+            gone = random.choice(sorted(fleet.nodes))
+            await fleet.nodes[gone].leave()
+            fleet.kill(gone)
+            await anyio.sleep(random.uniform(0.0, 20.0))
+            fleet.store.end_trouble()
+            await anyio.sleep(REMOVED_AFTER_SILENCE_S)
+            assert gone not in fleet.store.members
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
