Don't take the word of a node that has just started as well

What callers could see: after a drill that lost the withdrawal of a key, and until the operators had written it again, the key worked on nodes that restarted together.

Replies now say whether their sender is informed. Messages stay readable beside the version before, whose nodes count as informed.

Ruled out: the evidence of peers, which was true in the trace.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_reader.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_config_reader.py
@@ -121,7 +121,7 @@
         self._position = result.position
         _log_era(previous, result.position)
         self._adopt(result)
-        if not self._fleet.heard_others.is_set():
+        if not self._fleet.heard_others.is_complete:
             await self._wait_for_others()
         if result.is_newest and self._has_stored_newest():
             self._fleet.freshness.record_store_response(
@@ -140,10 +140,10 @@
         )
 
     async def _wait_for_others(self) -> None:
-        """Wait a while for another node: it may know a change that the store lost."""
+        """Wait a while for other nodes: they may know a change that the store lost."""
         with anyio.move_on_after(self._times.first_takeover_s):
             await self._fleet.heard_others.wait()
-        self._fleet.heard_others.set()
+        self._fleet.heard_others.complete()
 
     def _adopt(self, result: ConfigReadResult) -> None:
         fleet = self._fleet
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_gossip.py
@@ -118,6 +118,7 @@
             config_reader=fleet.freshness.reader or NodeId(""),
             config_era=fleet.freshness.era,
             store_era=self._eras.current,
+            is_informed=fleet.is_informed,
         )
 
     def _consider_evidence(self, node_id: NodeId, age_s: float) -> None:
@@ -215,7 +216,7 @@
             fleet.adopt_member(member)
         self._eras.record(reply.store_era)
         self.config_transfer.record_peer_version(node_id, reply.config_version)
-        fleet.heard_others.set()
+        fleet.heard_others.record_reply(node_id, is_informed=reply.is_informed)
         is_newest = reply.config_version == fleet.config_version == fleet.known_version
         if is_newest and reply.config_age_ms >= 0:
             self._record_evidence(node_id, reply, requested_at)
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
@@ -147,8 +147,8 @@
             fleet.adopt_member(row.member)
             if row.node_id == own and row.member != fleet.own:
                 self.write_soon()
-        if len(fleet.directory) < 2:
-            fleet.heard_others.set()
+        others = sum(member.node_id != own for member in fleet.directory.live())
+        fleet.heard_others.record_others(others)
         if not fleet.knows_members:
             fleet.knows_members = True
             self._on_known()
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_state.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_state.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import anyio
 import msgspec
 from loguru import logger
 
@@ -18,6 +17,7 @@
 from endivebeam_routing import Router
 
 from ._clock import read_clock
+from ._others_heard import OthersHeard
 from ._settings import SidecarSettings
 from ._target import LocalTarget
 
@@ -50,8 +50,7 @@
         # Set once all member records were received from the store or a peer. A node
         # that knows only itself would spend the allowances of the whole fleet.
         self.knows_members = False
-        # Set once another node has told its version, or there is none to wait for.
-        self.heard_others = anyio.Event()
+        self.heard_others = OthersHeard()
         self._known_version = ConfigVersion(0)
         self.directory = Directory()
         self.freshness = Freshness()
@@ -78,6 +77,13 @@
         """Newest version that this node or another one has had in force."""
         return max(self._known_version, ConfigVersion(self.config_version))
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether it has the newest version that it knows of, and has heard others."""
+        return self.heard_others.is_complete and (
+            self.config_version == self.known_version
+        )
+
     def record_peer_version(self, version: ConfigVersion) -> None:
         """Record a version that another node has in force."""
         self._known_version = max(self._known_version, version)
--- a/packages/endivebeam-sidecar/tests/_virtual_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_fleet.py
@@ -67,6 +67,7 @@
         with anyio.fail_after(timeout_s):
             request = make_request(1)
             await self._travel(member.node_id, other)
+            self._mark_reached(member.node_id)
             other.unreachable.remove(self._own)
             reply = other.handle_request(self._own, request)
             await self._travel(member.node_id, other)
@@ -81,6 +82,11 @@
         if self._fleet.nodes.get(peer) is not process:
             raise LinkLostError("the process ended")
 
+    def _mark_reached(self, peer: NodeId) -> None:
+        node = self._fleet.nodes.get(self._own)
+        if node is not None:
+            node.unreachable.remove(peer)
+
     def _mark_unreachable(self, peer: NodeId) -> None:
         node = self._fleet.nodes.get(self._own)
         if node is not None:
--- a/packages/endivebeam-sidecar/tests/test_restored_store.py
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -114,6 +114,32 @@
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("size", [13, 40])
+    def test_nodes_that_restart_together_have_none_for_a_change_that_was_replaced(
+        self, monkeypatch: pytest.MonkeyPatch, size: int, seed: int
+    ):
+        # Guards against a node that hears only of another one which has just started
+        # too, and uses withdrawn keys after that.
+        async def run(fleet: VirtualFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.store.publish()
+            await anyio.sleep(PROPAGATION_S)
+            fleet.store.restore(copy)
+            restarted = random.sample(sorted(fleet.nodes), size // 3)
+            for node_id in restarted:
+                fleet.kill(node_id)
+            await anyio.sleep(random.uniform(0.1, 1.0))
+            nodes = [fleet.start(node_id, incarnation=2) for node_id in restarted]
+            for _ in range(300):
+                await anyio.sleep(0.01)
+                now = read_virtual_clock()
+                for node in nodes:
+                    has_evidence = node.state.freshness.age_s(now) < 60
+                    assert not has_evidence or node.version == 2
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
+
 
 class TestPlannedStops:
     @pytest.mark.parametrize("seed", SEEDS)
--- a/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
+++ b/packages/endivebeam-wire/src/endivebeam_wire/_sidecar_messages.py
@@ -148,6 +148,8 @@
     ``config_reader`` is the node that has this evidence from the store, or empty, and
     ``config_era`` the era of the store then; an earlier version of a node sends none.
     ``store_era`` is the highest era of the store that the sender knows.
+    ``is_informed`` is unset while the sender has just started and has not heard of the
+    versions that the other nodes know, or not received the newest of them.
     """
 
     request_id: int
@@ -158,6 +160,7 @@
     config_reader: NodeId = NodeId("")
     config_era: StoreEra = UNKNOWN_ERA
     store_era: StoreEra = UNKNOWN_ERA
+    is_informed: bool = True
 
 
 class ConfigRequest(PeerMessage, frozen=True, kw_only=True, tag=66):
