Declare a node dead that was unreachable for long, also without a row

What was seen: a node that had ended stayed among the living ones for good, if the store had lost its row. Routes avoid unreachable nodes; it was asked, ranked and counted.

Cause: only the removal of a row declared a node dead, and a copy of the store may lack the row, or the response to its removal be lost.

Nothing else was ruled out.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_member_sync.py
@@ -184,12 +184,13 @@
             return
         for node_id in self._unreachable.longer_than(ABANDONED_AFTER_S):
             position = self._row_positions.pop(node_id, None)
-            if position is None:
-                continue
-            logger.bind(peer=node_id, silent_s=ABANDONED_AFTER_S).info(
-                "members: Removing the row of an unreachable node."
-            )
-            await self._store.remove_member(node_id, position=position)
+            if position is not None:
+                logger.bind(peer=node_id, silent_s=ABANDONED_AFTER_S).info(
+                    "members: Removing the row of an unreachable node."
+                )
+                await self._store.remove_member(node_id, position=position)
+            # The row may be missing: a copy lacked it, or the response to its removal
+            # was lost.
             self._fleet.declare_dead(node_id)
 
     async def _remove_departed(self) -> None:
--- a/packages/endivebeam-sidecar/tests/_virtual_trouble.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_trouble.py
@@ -33,7 +33,7 @@
         self.violations: list[str] = []
         self._highest: dict[tuple[NodeId, float], int] = {}
         self._returned: set[NodeId] = set()
-        # When a returned node without the newest version was unknown to all others last.
+        # When a returned node that lacks the newest version was unknown to the others.
         self._unknown_at: dict[tuple[NodeId, float], float] = {}
         self._publishes = True
         # When the store came back last with what operators had written.
--- a/packages/endivebeam-sidecar/tests/test_restored_store.py
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -15,6 +15,8 @@
 # Time in which rows that lapsed are back after the store is, by the platform's pages.
 ROWS_BACK_S = 2.0
 REMOVED_S = 5.0
+# A node that ended is missed, is unreachable for 12 s, and all rows are read then.
+DEAD_S = 60.0
 # A row that nobody removed in the silence is found when all rows are read next.
 REMOVED_AFTER_SILENCE_S = 15.0
 # Seeds of each test; more of them are run by hand.
@@ -242,6 +244,24 @@
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("size", [4, 25])
+    def test_node_that_ended_and_whose_row_the_copy_lacks_is_dead(
+        self, monkeypatch: pytest.MonkeyPatch, size: int, seed: int
+    ):
+        # Guards against a node that counts as a living one for good.
+        async def run(fleet: VirtualFleet) -> None:
+            copy = fleet.store.copy()
+            gone = random.choice(sorted(fleet.nodes))
+            rows = {n: row for n, row in copy.members.items() if n != gone}
+            fleet.kill(gone)
+            fleet.store.restore(copy._replace(members=rows))
+            await anyio.sleep(DEAD_S)
+            for node in fleet.nodes.values():
+                assert gone not in {m.node_id for m in node.state.directory.live()}
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
+
 
 class TestSilentStore:
     @pytest.mark.parametrize("seed", SEEDS)
