--- a/packages/endivebeam-sidecar/tests/_virtual_trouble.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_trouble.py
@@ -239,7 +239,7 @@
             self._reaches_store(node, now) or self._is_known(node)
         ):
             self._unknown_at[life] = now
-        is_new = now - self._unknown_at.get(life, 0.0) <= STABILITY_S
+        is_new = now - self._unknown_at.get(life, -math.inf) <= STABILITY_S
         if is_new or not self._is_linked(node, now):
             return False
         return any(
--- /dev/null
+++ b/packages/endivebeam-sidecar/tests/test_returned_nodes.py
@@ -0,0 +1,43 @@
+"""Nodes that return after they were away for long, in virtual time."""
+
+import os
+import random
+
+import anyio
+import pytest
+
+from endivebeam_model import MemberState
+
+from ._virtual_fleet import VirtualFleet, run_fleet
+
+# Time in which a node that ended is missed, unreachable for 12 s, and its row removed.
+MIN_AWAY_S, MAX_AWAY_S = 5.0, 60.0
+WATCHED_S = 15.0
+CHECK_PERIOD_S = 0.01
+# Seeds of the test; more of them are run by hand.
+SEEDS = range(int(os.environ.get("RETURN_SEEDS", "6")))
+
+
+class TestReturnedNodes:
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("size", [4, 25, 40])
+    def test_are_not_declared_dead(
+        self, monkeypatch: pytest.MonkeyPatch, size: int, seed: int
+    ):
+        # Guards against nodes that count the time during which an earlier run was
+        # unreachable against the present one.
+        async def run(fleet: VirtualFleet) -> None:
+            returned = random.sample(sorted(fleet.nodes), size // 4)
+            for node_id in returned:
+                fleet.kill(node_id)
+            await anyio.sleep(random.uniform(MIN_AWAY_S, MAX_AWAY_S))
+            nodes = [fleet.start(node_id, incarnation=2) for node_id in returned]
+            for _ in range(int(WATCHED_S / CHECK_PERIOD_S)):
+                await anyio.sleep(CHECK_PERIOD_S)
+                for node in nodes:
+                    for other in fleet.nodes.values():
+                        known = other.state.directory.find(node.node_id)
+                        is_dead = known is not None and known.state is MemberState.DEAD
+                        assert not is_dead or known.incarnation == 1
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
