Don't count the time of an earlier run against a node that returned

Cause: the first watcher counts for how long a node has been unreachable and forgot it only when it received something from the node. A node that returned after more than 12 s had often not sent the watcher anything yet, so it was declared dead at the next read of the store, and its row removed.

--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_daemon.py
@@ -91,11 +91,13 @@
             region=settings.region,
             rng=random.Random(),
         )
+        self._unreachable = UnreachableNodes()
         self._fleet = FleetState(
             settings=settings,
             router=self._router,
             limits=self._limits,
             on_refuted=lambda: self._control.publish_own(),
+            on_returned=self._unreachable.remove,
         )
         self._target = LocalTarget(
             headers=settings.headers,
@@ -110,7 +112,6 @@
             kept_replies=KeptReplies(process_token=process_token),
             budget=self._budget,
         )
-        self._unreachable = UnreachableNodes()
         self._links = Links(
             local=Hello(
                 protocol=SIDECAR_PROTOCOL_VERSION,
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_state.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_state.py
@@ -32,7 +32,8 @@
     """The configuration and the member records that this node knows.
 
     The version of the configuration never decreases while the process runs.
-    ``on_refuted`` is called after this node has raised its own incarnation.
+    ``on_refuted`` is called after this node has raised its own incarnation, and
+    ``on_returned`` with the id of another node that has raised its incarnation.
     """
 
     def __init__(
@@ -42,8 +43,10 @@
         router: Router,
         limits: ServerLimits,
         on_refuted: Callable[[], None],
+        on_returned: Callable[[NodeId], None],
     ) -> None:
         self._on_refuted = on_refuted
+        self._on_returned = on_returned
         self._router = router
         self._limits = limits
         self.index: ConfigIndex | None = None
@@ -157,8 +160,11 @@
                 self._on_refuted()
                 return True
             return False
+        previous = self.directory.find(member.node_id)
         if not self.directory.apply(member):
             return False
+        if previous is not None and member.incarnation > previous.incarnation:
+            self._on_returned(member.node_id)
         serving = member.state is MemberState.SERVING
         self._router.update(member, serving=serving, now=read_clock())
         logger.bind(
--- a/packages/endivebeam-sidecar/src/endivebeam_sidecar/_unreachable_nodes.py
+++ b/packages/endivebeam-sidecar/src/endivebeam_sidecar/_unreachable_nodes.py
@@ -16,7 +16,7 @@
         self._since.setdefault(node_id, read_clock())
 
     def remove(self, node_id: NodeId) -> None:
-        """Remove a node from which something was received."""
+        """Remove a node that has returned or from which something was received."""
         self._since.pop(node_id, None)
 
     def includes(self, node_id: NodeId) -> bool:
--- a/packages/endivebeam-sidecar/tests/_virtual_fleet.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_fleet.py
@@ -122,6 +122,7 @@
         self.node_id = node_id
         self.started_at = read_virtual_clock()
         self.scope = anyio.CancelScope()
+        self.unreachable = UnreachableNodes()
         self.state = FleetState(
             settings=settings,
             router=Router(
@@ -132,8 +133,8 @@
             ),
             limits=ServerLimits(),
             on_refuted=lambda: self.control.publish_own(),
+            on_returned=self.unreachable.remove,
         )
-        self.unreachable = UnreachableNodes()
         self.control = Control(
             fleet=self.state,
             store=StoreAccess(fleet.store, node_id),
