--- a/packages/endivebeam-sidecar/tests/_virtual_store.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_store.py
@@ -121,15 +121,19 @@
         return max(p.version for p in self.published if p.at <= at)
 
     async def wait(self, position: StorePosition, wait_s: float) -> None:
-        """Wait until the store is beyond a position."""
+        """Wait until the configuration was written after ``position``.
+
+        Writes of other rows don't end it; a restore does if the position is lost.
+        """
         with anyio.move_on_after(wait_s):
-            while self.position.version <= position.version:
+            while (
+                self._has(position.version) and self._config_version <= position.version
+            ):
                 await self._changed.wait()
 
     def read_changes(self, position: StorePosition) -> FleetConfig | None:
         """Return the configuration if it was written after ``position``."""
-        known = range(self._history_start, self.position.version + 1)
-        if position.era != self.position.era or position.version not in known:
+        if position.era != self.position.era or not self._has(position.version):
             raise HistoryLostError("the position is not known")
         return self.config if self._config_version > position.version else None
 
@@ -148,6 +152,10 @@
         self._mark_changed()
         return True
 
+    def _has(self, version: StoreVersion) -> bool:
+        """Return whether the changes after a version are known."""
+        return self._history_start <= version <= self.position.version
+
     def _mark_changed(self) -> None:
         version = StoreVersion(self.position.version + 1)
         self.position = StorePosition(self.position.era, version)
