--- a/packages/endivebeam-sidecar/tests/test_restored_store.py
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -17,6 +17,10 @@
 REMOVED_S = 5.0
 # A node that ended is missed, is unreachable for 12 s, and all rows are read then.
 DEAD_S = 60.0
+# A store that serves 2000 reads a second to 200 nodes.
+STORE_READS_PER_NODE_S = 10
+# Nodes of the largest fleet; 200 of them are run by hand.
+LARGE_FLEET = int(os.environ.get("RESTORE_NODES", "40"))
 # A row that nobody removed in the silence is found when all rows are read next.
 REMOVED_AFTER_SILENCE_S = 15.0
 # Seeds of each test; more of them are run by hand.
@@ -282,3 +286,39 @@
             assert gone not in fleet.store.members
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
+
+
+def count_calls(fleet: VirtualFleet, *, since: float) -> list[int]:
+    """Return the number of calls to the store in each second since then."""
+    seconds = [int(at - since) for at, _ in fleet.store.calls if at >= since]
+    return [seconds.count(second) for second in range(max(seconds) + 1)]
+
+
+class TestLoad:
+    @pytest.mark.parametrize("written_after_s", [0.0, 5.0])
+    def test_large_fleet_stays_within_the_rate_limit_of_the_store(
+        self, monkeypatch: pytest.MonkeyPatch, written_after_s: float
+    ):
+        # Guards against nodes that all read the store again and again as it returns.
+        async def run(fleet: VirtualFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.store.publish()
+            await anyio.sleep(PROPAGATION_S)
+            fleet.store.set_trouble(fleet.nodes)
+            await anyio.sleep(1.0)
+            fleet.store.restore(copy)
+            fleet.store.end_trouble()
+            restored_at = read_virtual_clock()
+            await anyio.sleep(written_after_s)
+            fleet.store.write_again()
+            written_at = read_virtual_clock()
+            await anyio.sleep(PROPAGATION_S)
+            assert find_versions(fleet) == {fleet.store.published[-1].version}
+            now = read_virtual_clock()
+            for node in fleet.nodes.values():
+                assert now - node.state.freshness.age_s(now) >= written_at
+            await anyio.sleep(10.0 - written_after_s)
+            calls = count_calls(fleet, since=restored_at)
+            assert max(calls) <= STORE_READS_PER_NODE_S * LARGE_FLEET
+
+        run_fleet(monkeypatch, run, size=LARGE_FLEET, seed=1)
