--- a/packages/endivebeam-sidecar/tests/test_returned_nodes.py
+++ b/packages/endivebeam-sidecar/tests/test_returned_nodes.py
@@ -6,9 +6,9 @@
 import anyio
 import pytest
 
-from endivebeam_model import MemberState
+from endivebeam_model import MemberState, NodeId
 
-from ._virtual_fleet import VirtualFleet, run_fleet
+from ._virtual_fleet import VirtualFleet, VirtualNode, run_fleet
 
 # Time in which a node that ended is missed, unreachable for 12 s, and its row removed.
 MIN_AWAY_S, MAX_AWAY_S = 5.0, 60.0
@@ -41,3 +41,30 @@
                         assert not is_dead or known.incarnation == 1
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
+
+
+class TestObservers:
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_node_that_was_cut_off_declares_no_other_dead(
+        self, monkeypatch: pytest.MonkeyPatch, seed: int
+    ):
+        # Guards against a node that takes the loss of its own network for that of the
+        # others, which have been in touch with each other all the time.
+        async def run(fleet: VirtualFleet) -> None:
+            nodes = fleet.nodes.values()
+            observer = next(n for n in nodes if n.watchers.is_first())
+            fleet.set_cut([observer.node_id])
+            await anyio.sleep(random.uniform(MIN_AWAY_S, MAX_AWAY_S))
+            fleet.set_cut(())
+            for _ in range(int(WATCHED_S / CHECK_PERIOD_S)):
+                await anyio.sleep(CHECK_PERIOD_S)
+                for node in nodes:
+                    assert find_dead(node) - {observer.node_id} == set()
+
+        run_fleet(monkeypatch, run, size=25, seed=seed)
+
+
+def find_dead(node: VirtualNode) -> set[NodeId]:
+    """Return the nodes that a node takes for dead ones."""
+    members = node.state.directory.members()
+    return {m.node_id for m in members if m.state is MemberState.DEAD}
