Show that a node without the store waits for its configuration, in a known failure

In the trace node-3 is killed at 43.96 s and starts at 45.65 s, the store refuses it until 48.72 s, and neither of the two others contacts it: both had marked it unreachable while it was away.

--- a/packages/endivebeam-sidecar/tests/test_returned_nodes.py
+++ b/packages/endivebeam-sidecar/tests/test_returned_nodes.py
@@ -9,6 +9,7 @@
 from endivebeam_model import MemberState, NodeId
 
 from ._virtual_fleet import VirtualFleet, VirtualNode, run_fleet
+from ._virtual_trouble import STABILITY_S
 
 # Time in which a node that ended is missed, unreachable for 12 s, and its row removed.
 MIN_AWAY_S, MAX_AWAY_S = 5.0, 60.0
@@ -68,3 +69,23 @@
     """Return the nodes that a node takes for dead ones."""
     members = node.state.directory.members()
     return {m.node_id for m in members if m.state is MemberState.DEAD}
+
+
+class TestNodesWithoutStore:
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("size", [4, 25])
+    def test_receive_the_configuration_from_others(
+        self, monkeypatch: pytest.MonkeyPatch, size: int, seed: int
+    ):
+        # Guards against nodes that nobody asks after they have restarted, and that
+        # reject requests as long as the store doesn't answer them.
+        async def run(fleet: VirtualFleet) -> None:
+            node_id = random.choice(sorted(fleet.nodes))
+            fleet.kill(node_id)
+            await anyio.sleep(random.uniform(0.2, 2.0))
+            fleet.store.set_trouble([node_id], silent=random.random() < 0.5)
+            node = fleet.start(node_id, incarnation=2)
+            await anyio.sleep(STABILITY_S)
+            assert node.version == fleet.store.published[-1].version
+
+        run_fleet(monkeypatch, run, size=size, seed=seed)
