Write what the tests of a restored store repeat once

Three tests let a node leave and end, two take rows out of a copy, and two check the evidence of nodes that have just started, each with its own lines. `let_node_leave`, `StoreCopy.without_rows` and `check_evidence` serve them now. Assertions, bounds, seeds and the order of random numbers are as they were.

--- a/packages/endivebeam-sidecar/tests/_virtual_store.py
+++ b/packages/endivebeam-sidecar/tests/_virtual_store.py
@@ -48,6 +48,12 @@
     config_version: StoreVersion
     members: dict[NodeId, tuple[Member, StorePosition]]
 
+    def without_rows(self, nodes: Iterable[NodeId]) -> "StoreCopy":
+        """Return the same contents without the rows of some nodes."""
+        lost = set(nodes)
+        rows = {n: row for n, row in self.members.items() if n not in lost}
+        return self._replace(members=rows)
+
 
 class VirtualStore:
     """The platform's store; the sets hold the nodes that have trouble with it."""
--- a/packages/endivebeam-sidecar/tests/test_restored_store.py
+++ b/packages/endivebeam-sidecar/tests/test_restored_store.py
@@ -6,7 +6,9 @@
 import anyio
 import pytest
 
-from ._virtual_fleet import VirtualFleet, run_fleet
+from endivebeam_model import NodeId
+
+from ._virtual_fleet import VirtualFleet, VirtualNode, run_fleet
 from ._virtual_store import StoreCopy
 from ._virtual_time import read_virtual_clock
 
@@ -71,6 +73,16 @@
     return acknowledged_at
 
 
+async def check_evidence(nodes: list[VirtualNode]) -> None:
+    """Check for a while that nodes have evidence only with the newest version."""
+    for _ in range(300):
+        await anyio.sleep(0.01)
+        now = read_virtual_clock()
+        for node in nodes:
+            has_evidence = node.state.freshness.age_s(now) < 60
+            assert not has_evidence or node.version == 2
+
+
 class TestEvidence:
     @pytest.mark.parametrize("seed", SEEDS)
     @pytest.mark.parametrize("size", [1, 4, 25])
@@ -113,10 +125,7 @@
             fleet.kill(node_id)
             await anyio.sleep(random.uniform(0.1, 1.0))
             node = fleet.start(node_id, incarnation=2)
-            for _ in range(300):
-                await anyio.sleep(0.01)
-                has_evidence = node.state.freshness.age_s(read_virtual_clock()) < 60
-                assert not has_evidence or node.version == 2
+            await check_evidence([node])
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
 
@@ -137,16 +146,19 @@
                 fleet.kill(node_id)
             await anyio.sleep(random.uniform(0.1, 1.0))
             nodes = [fleet.start(node_id, incarnation=2) for node_id in restarted]
-            for _ in range(300):
-                await anyio.sleep(0.01)
-                now = read_virtual_clock()
-                for node in nodes:
-                    has_evidence = node.state.freshness.age_s(now) < 60
-                    assert not has_evidence or node.version == 2
+            await check_evidence(nodes)
 
         run_fleet(monkeypatch, run, size=size, seed=seed)
 
 
+async def let_node_leave(fleet: VirtualFleet) -> NodeId:
+    """Let any node leave and end; return its id."""
+    node_id = random.choice(sorted(fleet.nodes))
+    await fleet.nodes[node_id].leave()
+    fleet.kill(node_id)
+    return node_id
+
+
 class TestPlannedStops:
     @pytest.mark.parametrize("seed", SEEDS)
     @pytest.mark.parametrize("size", [1, 4, 25])
@@ -195,10 +207,9 @@
         async def run(fleet: VirtualFleet) -> None:
             copy = fleet.store.copy()
             lost = random.sample(sorted(fleet.nodes), random.randint(1, size))
-            rows = {n: row for n, row in copy.members.items() if n not in lost}
             fleet.store.set_trouble(fleet.nodes)
             await anyio.sleep(random.uniform(0.0, 1.0))
-            fleet.store.restore(copy._replace(members=rows))
+            fleet.store.restore(copy.without_rows(lost))
             fleet.store.end_trouble()
             await anyio.sleep(ROWS_BACK_S)
             assert set(fleet.store.members) == set(fleet.nodes)
@@ -213,10 +224,7 @@
         # Guards against a removal that was lost, which would bring the node back.
         async def run(fleet: VirtualFleet) -> None:
             copy = fleet.store.copy()
-            gone = random.choice(sorted(fleet.nodes))
-            node = fleet.nodes[gone]
-            await node.leave()
-            fleet.kill(gone)
+            gone = await let_node_leave(fleet)
             assert gone not in fleet.store.members
             await anyio.sleep(random.uniform(0.1, 2.0))
             fleet.store.restore(copy)
@@ -235,9 +243,7 @@
         # read, and counts as followed then.
         async def run(fleet: VirtualFleet) -> None:
             copy = fleet.store.copy()
-            gone = random.choice(sorted(fleet.nodes))
-            await fleet.nodes[gone].leave()
-            fleet.kill(gone)
+            gone = await let_node_leave(fleet)
             await anyio.sleep(random.uniform(0.1, 2.0))
             for _ in range(random.randint(2, 4)):
                 fleet.store.restore(copy)
@@ -257,9 +263,8 @@
         async def run(fleet: VirtualFleet) -> None:
             copy = fleet.store.copy()
             gone = random.choice(sorted(fleet.nodes))
-            rows = {n: row for n, row in copy.members.items() if n != gone}
             fleet.kill(gone)
-            fleet.store.restore(copy._replace(members=rows))
+            fleet.store.restore(copy.without_rows([gone]))
             await anyio.sleep(DEAD_S)
             for node in fleet.nodes.values():
                 assert gone not in {m.node_id for m in node.state.directory.live()}
@@ -277,9 +282,7 @@
         # again after the others have restarted.
         async def run(fleet: VirtualFleet) -> None:
             fleet.store.set_trouble(fleet.nodes, silent=random.random() < 0.5)
-            gone = random.choice(sorted(fleet.nodes))
-            await fleet.nodes[gone].leave()
-            fleet.kill(gone)
+            gone = await let_node_leave(fleet)
             await anyio.sleep(random.uniform(0.0, 20.0))
             fleet.store.end_trouble()
             await anyio.sleep(REMOVED_AFTER_SILENCE_S)
